Lay out the workspace and the core types

Cause: nothing stood yet. The reactor holds small libraries whose arrows point down only; model, decision, rules, fairness, messages and rollout-core come first because every other module speaks in their types.

Ruled out: one module with packages, because nothing would keep the decision cores free of sockets and encodings; switch patterns over sealed events, which Java 17 does not have finished, so EventRouter checks completeness instead.

Before: no code.

--- /dev/null
+++ b/messages/src/main/java/org/sassafrastrail/messages/Message.java
@@ -0,0 +1,16 @@
+package org.sassafrastrail.messages;
+
+/** A message between two processes of the system. */
+public sealed interface Message
+        permits Hello,
+                Demand,
+                GrantOffer,
+                GrantReturn,
+                AttemptQuery,
+                AttemptReport,
+                LedgerUpdate,
+                EvidenceUpdate,
+                MoveUpdate,
+                Heartbeat,
+                RulesRequest,
+                RulesAnnouncement {}
--- /dev/null
+++ b/messages/src/main/java/org/sassafrastrail/messages/RulesRequest.java
@@ -0,0 +1,10 @@
+package org.sassafrastrail.messages;
+
+import org.sassafrastrail.model.Revision;
+
+/**
+ * Asks a peer for its rule file.
+ *
+ * @param known the revision that the sender has
+ */
+public record RulesRequest(Revision known) implements Message {}
--- /dev/null
+++ b/rollout-core/src/main/java/org/sassafrastrail/rollout/EvidenceLedger.java
@@ -0,0 +1,121 @@
+package org.sassafrastrail.rollout;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Objects;
+import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
+
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+import org.sassafrastrail.fairness.LedgerWriter;
+import org.sassafrastrail.messages.EvidenceEntry;
+import org.sassafrastrail.model.MoveIdentifier;
+import org.sassafrastrail.model.VersionName;
+
+/** The evidence on versions that this node has heard, from any number of sidecars. */
+public final class EvidenceLedger {
+
+    /** Nothing is known. */
+    public static final EvidenceLedger EMPTY = new EvidenceLedger(HashTreePMap.empty(), HashTreePMap.empty());
+
+    private final PMap<Place, EvidenceEntry> entries;
+    private final PMap<Place, EvidenceEntry> unsent;
+
+    private EvidenceLedger(PMap<Place, EvidenceEntry> entries, PMap<Place, EvidenceEntry> unsent) {
+        this.entries = entries;
+        this.unsent = unsent;
+    }
+
+    /**
+     * Takes over evidence that is newer than what is known.
+     *
+     * @param news evidence in any order, possibly repeated
+     * @return the merged ledger
+     */
+    public EvidenceLedger merge(Collection<EvidenceEntry> news) {
+        return news.stream().filter(this::isNews).reduce(this, EvidenceLedger::put, (first, second) -> second);
+    }
+
+    /**
+     * Counts one attempt of this node's upstream.
+     *
+     * @param empty an entry without attempts, which says where the attempt is counted
+     * @param count counts the attempt
+     * @return the ledger that counts it too
+     */
+    public EvidenceLedger count(EvidenceEntry empty, UnaryOperator<EvidenceEntry> count) {
+        return put(count.apply(entries.getOrDefault(Place.of(empty), empty)));
+    }
+
+    /**
+     * Adds up the evidence on a version in a move.
+     *
+     * @param move the move
+     * @param version the version
+     * @return the evidence on each of its routes
+     */
+    public List<RouteEvidence> evidence(MoveIdentifier move, VersionName version) {
+        return matching(move, version)
+                .map(EvidenceEntry::route)
+                .distinct()
+                .sorted()
+                .map(route -> new RouteEvidence(
+                        route,
+                        matching(move, version)
+                                .filter(entry -> entry.route().equals(route))
+                                .map(VersionEvidence::of)
+                                .reduce(VersionEvidence.NONE, VersionEvidence::plus)))
+                .toList();
+    }
+
+    /**
+     * Returns the entries that changed since they were last marked as sent.
+     *
+     * @return the entries
+     */
+    public List<EvidenceEntry> unsent() {
+        return List.copyOf(unsent.values());
+    }
+
+    /**
+     * Marks all entries as sent.
+     *
+     * @return the ledger, with nothing to pass on
+     */
+    public EvidenceLedger sent() {
+        return unsent.isEmpty() ? this : new EvidenceLedger(entries, HashTreePMap.empty());
+    }
+
+    /**
+     * Returns all entries, for a node that has just connected.
+     *
+     * @return the entries
+     */
+    public List<EvidenceEntry> entries() {
+        return List.copyOf(entries.values());
+    }
+
+    private Stream<EvidenceEntry> matching(MoveIdentifier move, VersionName version) {
+        return entries.values().stream()
+                .filter(entry -> entry.move().equals(move))
+                .filter(entry -> entry.version().equals(version));
+    }
+
+    private boolean isNews(EvidenceEntry entry) {
+        EvidenceEntry known = entries.get(Place.of(entry));
+        return Objects.isNull(known) || known.attempts() < entry.attempts();
+    }
+
+    private EvidenceLedger put(EvidenceEntry entry) {
+        return new EvidenceLedger(entries.plus(Place.of(entry), entry), unsent.plus(Place.of(entry), entry));
+    }
+
+    /** Where an entry stands. */
+    private record Place(LedgerWriter writer, MoveIdentifier move, VersionName version, String route) {
+
+        static Place of(EvidenceEntry entry) {
+            return new Place(entry.writer(), entry.move(), entry.version(), entry.route());
+        }
+    }
+}
--- /dev/null
+++ b/rollout-core/src/main/java/org/sassafrastrail/rollout/MoveRecord.java
@@ -0,0 +1,15 @@
+package org.sassafrastrail.rollout;
+
+import java.time.Instant;
+
+import org.sassafrastrail.messages.MoveProgress;
+
+/**
+ * A move as the controller last saw it in the platform's table.
+ *
+ * @param progress the recorded step
+ * @param rowVersion the version of its row
+ * @param seenAt when this controller first saw the step
+ * @param attemptsBefore how many attempts at the new version had ended then
+ */
+public record MoveRecord(MoveProgress progress, long rowVersion, Instant seenAt, long attemptsBefore) {}
--- /dev/null
+++ b/rollout-core/src/main/java/org/sassafrastrail/rollout/RolloutCore.java
@@ -0,0 +1,145 @@
+package org.sassafrastrail.rollout;
+
+import java.time.Instant;
+import java.util.Optional;
+
+import org.sassafrastrail.decision.DecisionCore;
+import org.sassafrastrail.decision.EventRouter;
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.messages.MoveProgress;
+import org.sassafrastrail.messages.Suspension;
+import org.sassafrastrail.model.MoveIdentifier;
+import org.sassafrastrail.model.TrafficShare;
+import org.sassafrastrail.rules.MoveRule;
+
+/**
+ * The controller of version moves. It acts only while it holds the lease, and first records each move anew under its own
+ * fencing token, so that a late write of an earlier holder meets a changed row.
+ */
+public final class RolloutCore implements DecisionCore<RolloutState, RolloutEvent, RolloutAction> {
+
+    private final RolloutPolicy policy;
+    private final FaultDetector detector;
+    private final DecisionCore<RolloutState, RolloutEvent, RolloutAction> handlers;
+
+    /**
+     * Makes the controller.
+     *
+     * @param policy when a move takes its next step
+     * @param detector when a version is bad
+     */
+    public RolloutCore(RolloutPolicy policy, FaultDetector detector) {
+        this.policy = policy;
+        this.detector = detector;
+        this.handlers = EventRouter.<RolloutState, RolloutEvent, RolloutAction>over(RolloutEvent.class)
+                .on(RolloutEvent.Tick.class, (state, event, now) -> tick(state, now))
+                .on(
+                        RolloutEvent.Knowledge.class,
+                        (state, event, now) -> Transition.<RolloutState, RolloutAction>stay(state.with(event)))
+                .on(
+                        RolloutEvent.LeaseAnswered.class,
+                        (state, event, now) -> Transition.<RolloutState, RolloutAction>stay(state.with(event.lease())))
+                .on(RolloutEvent.StepAnswered.class, this::stepAnswered)
+                .complete();
+    }
+
+    @Override
+    public Transition<RolloutState, RolloutAction> handle(RolloutState state, RolloutEvent event, Instant now) {
+        return handlers.handle(state, event, now);
+    }
+
+    private Transition<RolloutState, RolloutAction> tick(RolloutState state, Instant now) {
+        if (state.knowledge().rules().moves().isEmpty()) {
+            return Transition.stay(state);
+        }
+        Transition<RolloutState, RolloutAction> seeking =
+                Transition.<RolloutState, RolloutAction>stay(state).then(new RolloutAction.SeekLease());
+        boolean holds = state.lease().filter(lease -> lease.holdsAt(now)).isPresent();
+        return holds
+                ? state.knowledge().rules().moves().stream()
+                        .map(MoveRule::move)
+                        .reduce(
+                                seeking,
+                                (sofar, move) -> sofar.and(next -> advance(next, move, now)),
+                                (first, second) -> second)
+                : seeking;
+    }
+
+    private Transition<RolloutState, RolloutAction> advance(RolloutState state, MoveIdentifier move, Instant now) {
+        MoveRecord known = state.records().get(move);
+        Transition<RolloutState, RolloutAction> stay = Transition.stay(state);
+        if (known == null) {
+            return stay.then(new RolloutAction.ReadStep(move));
+        }
+        long fence = state.lease().orElseThrow().fence();
+        MoveProgress progress = known.progress();
+        if (progress.verdict() != MoveProgress.Verdict.RUNNING) {
+            return stay;
+        }
+        if (progress.fence() < fence) {
+            return stay.then(record(known, fence, progress.share()));
+        }
+        MoveProgress.Reason fault = fault(state, move);
+        if (fault != MoveProgress.Reason.NONE) {
+            return stay.then(new RolloutAction.Suspend(new Suspension(move, fault)))
+                    .then(takeBack(known, fence, fault));
+        }
+        long seen = attempts(state, move) - known.attemptsBefore();
+        TrafficShare share = policy.next(progress, seen, known.seenAt(), now);
+        return share.equals(progress.share()) ? stay : stay.then(record(known, fence, share));
+    }
+
+    private MoveProgress.Reason fault(RolloutState state, MoveIdentifier move) {
+        Optional<Suspension> suspension = state.knowledge().board().suspension(move);
+        EvidenceLedger evidence = state.knowledge().evidence();
+        return suspension
+                .map(Suspension::reason)
+                .orElseGet(
+                        () -> detector.judge(evidence.evidence(move, move.to()), evidence.evidence(move, move.from())));
+    }
+
+    private static RolloutAction record(MoveRecord known, long fence, TrafficShare share) {
+        MoveProgress.Verdict verdict =
+                share.equals(TrafficShare.WHOLE) ? MoveProgress.Verdict.DONE : MoveProgress.Verdict.RUNNING;
+        return new RolloutAction.RecordStep(
+                new MoveProgress(
+                        known.progress().move(),
+                        fence,
+                        known.progress().step() + 1,
+                        share,
+                        verdict,
+                        MoveProgress.Reason.NONE),
+                known.rowVersion());
+    }
+
+    private static RolloutAction takeBack(MoveRecord known, long fence, MoveProgress.Reason reason) {
+        return new RolloutAction.RecordStep(
+                new MoveProgress(
+                        known.progress().move(),
+                        fence,
+                        known.progress().step() + 1,
+                        TrafficShare.NONE,
+                        MoveProgress.Verdict.TAKEN_BACK,
+                        reason),
+                known.rowVersion());
+    }
+
+    private Transition<RolloutState, RolloutAction> stepAnswered(
+            RolloutState state, RolloutEvent.StepAnswered event, Instant now) {
+        MoveIdentifier move = event.recorded().move();
+        MoveRecord known = state.records().get(move);
+        boolean sameShare = known != null
+                && known.progress().share().equals(event.recorded().share());
+        Instant since = sameShare ? known.seenAt() : now;
+        long before = sameShare ? known.attemptsBefore() : attempts(state, move);
+        return Transition.<RolloutState, RolloutAction>stay(
+                        state.with(move, new MoveRecord(event.recorded(), event.rowVersion(), since, before)))
+                .then(new RolloutAction.Announce(event.recorded()));
+    }
+
+    private static long attempts(RolloutState state, MoveIdentifier move) {
+        return state.knowledge().evidence().evidence(move, move.to()).stream()
+                .mapToLong(route -> route.evidence().attempts())
+                .sum();
+    }
+}
--- /dev/null
+++ b/rollout-core/src/main/java/org/sassafrastrail/rollout/RolloutEvent.java
@@ -0,0 +1,37 @@
+package org.sassafrastrail.rollout;
+
+import java.util.Optional;
+
+import org.sassafrastrail.messages.MoveProgress;
+import org.sassafrastrail.rules.RuleSet;
+
+/** What the controller of version moves is told. */
+public sealed interface RolloutEvent {
+
+    /** Time passes. */
+    record Tick() implements RolloutEvent {}
+
+    /**
+     * What this node knows.
+     *
+     * @param rules the rules in force
+     * @param evidence the evidence on versions
+     * @param board the steps and suspensions
+     */
+    record Knowledge(RuleSet rules, EvidenceLedger evidence, MoveBoard board) implements RolloutEvent {}
+
+    /**
+     * The platform's table answered about the lease.
+     *
+     * @param lease the lease if this node holds it
+     */
+    record LeaseAnswered(Optional<ControllerLease> lease) implements RolloutEvent {}
+
+    /**
+     * The platform's table recorded a step, or held another controller's step instead.
+     *
+     * @param recorded the step as the table holds it
+     * @param rowVersion the version of its row
+     */
+    record StepAnswered(MoveProgress recorded, long rowVersion) implements RolloutEvent {}
+}
--- /dev/null
+++ b/rollout-core/src/main/java/org/sassafrastrail/rollout/RouteEvidence.java
@@ -0,0 +1,9 @@
+package org.sassafrastrail.rollout;
+
+/**
+ * The evidence on a version on one route.
+ *
+ * @param route the route
+ * @param evidence the evidence
+ */
+public record RouteEvidence(String route, VersionEvidence evidence) {}
--- /dev/null
+++ b/rules/src/main/java/org/sassafrastrail/rules/AccountRule.java
@@ -0,0 +1,31 @@
+package org.sassafrastrail.rules;
+
+import org.sassafrastrail.model.AccountName;
+
+/**
+ * A client account.
+ *
+ * @param name the account
+ * @param weight its weight in the fair share, from 1 to {@value #MAXIMUM_WEIGHT}
+ * @param queueLimit how many of its requests may wait at one router
+ * @param key the digest of its key
+ * @param comment who asked for the rule
+ */
+public record AccountRule(AccountName name, int weight, int queueLimit, KeyDigest key, String comment) implements Rule {
+
+    /** The largest weight. */
+    public static final int MAXIMUM_WEIGHT = 1000;
+
+    /** The largest queue limit, in requests. */
+    public static final int MAXIMUM_QUEUE = 100_000;
+
+    @Override
+    public String subject() {
+        return "account " + name;
+    }
+
+    @Override
+    public String text() {
+        return subject() + " weight " + weight + " queue " + queueLimit + " key " + key.text();
+    }
+}
--- /dev/null
+++ b/rules/src/main/java/org/sassafrastrail/rules/AccountRuleReader.java
@@ -0,0 +1,25 @@
+package org.sassafrastrail.rules;
+
+import java.util.Set;
+
+import org.sassafrastrail.model.AccountName;
+
+/** Reads {@code account NAME weight N queue N key sha256:DIGEST}. */
+final class AccountRuleReader implements RuleReader {
+
+    @Override
+    public boolean reads(String keyword) {
+        return keyword.equals("account");
+    }
+
+    @Override
+    public Rule read(Clauses clauses, String comment) {
+        clauses.allow(2, Set.of("weight", "queue", "key"));
+        return new AccountRule(
+                new AccountName(clauses.subject("client account")),
+                clauses.number("weight", 1, AccountRule.MAXIMUM_WEIGHT),
+                clauses.number("queue", 1, AccountRule.MAXIMUM_QUEUE),
+                clauses.digest("key"),
+                comment);
+    }
+}
--- /dev/null
+++ b/rules/src/main/java/org/sassafrastrail/rules/KeyDigest.java
@@ -0,0 +1,58 @@
+package org.sassafrastrail.rules;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.regex.Pattern;
+
+/**
+ * The SHA-256 digest of a caller's key; the rule file never holds the key itself.
+ *
+ * @param hexadecimal 64 lower-case hexadecimal digits
+ */
+public record KeyDigest(String hexadecimal) {
+
+    private static final String PREFIX = "sha256:";
+    private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
+
+    /** Checks the digits. */
+    public KeyDigest {
+        if (!DIGEST.matcher(hexadecimal).matches()) {
+            throw new IllegalArgumentException("not a SHA-256 digest");
+        }
+    }
+
+    /**
+     * Computes the digest of a key.
+     *
+     * @param key the key
+     * @return its digest
+     */
+    public static KeyDigest of(String key) {
+        try {
+            byte[] digest = MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
+            return new KeyDigest(HexFormat.of().formatHex(digest));
+        } catch (NoSuchAlgorithmException missing) {
+            throw new IllegalStateException("every Java runtime has SHA-256", missing);
+        }
+    }
+
+    static boolean isText(String text) {
+        return text.startsWith(PREFIX)
+                && DIGEST.matcher(text.substring(PREFIX.length())).matches();
+    }
+
+    static KeyDigest parse(String text) {
+        return new KeyDigest(text.substring(PREFIX.length()));
+    }
+
+    /**
+     * Writes the digest the way the rule file has it.
+     *
+     * @return the text
+     */
+    public String text() {
+        return PREFIX + hexadecimal;
+    }
+}
--- /dev/null
+++ b/rules/src/main/java/org/sassafrastrail/rules/RuleDifference.java
@@ -0,0 +1,52 @@
+package org.sassafrastrail.rules;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * What changes between two rule sets.
+ *
+ * @param removed rules whose subject is gone
+ * @param added rules on new subjects
+ * @param changed rules on the same subject that now say something else
+ */
+public record RuleDifference(List<Rule> removed, List<Rule> added, List<Rule> changed) {
+
+    /**
+     * Compares two rule sets.
+     *
+     * @param before the rules in force
+     * @param after the rules to come
+     * @return the difference
+     */
+    public static RuleDifference between(RuleSet before, RuleSet after) {
+        Map<String, Rule> old = bySubject(before);
+        Map<String, Rule> next = bySubject(after);
+        return new RuleDifference(
+                before.rules().stream()
+                        .filter(rule -> !next.containsKey(rule.subject()))
+                        .toList(),
+                after.rules().stream()
+                        .filter(rule -> !old.containsKey(rule.subject()))
+                        .toList(),
+                after.rules().stream()
+                        .filter(rule -> old.containsKey(rule.subject()))
+                        .filter(rule -> !rule.equals(old.get(rule.subject())))
+                        .toList());
+    }
+
+    private static Map<String, Rule> bySubject(RuleSet rules) {
+        return rules.rules().stream().collect(Collectors.toMap(Rule::subject, Function.identity()));
+    }
+
+    /**
+     * Tells whether nothing changes.
+     *
+     * @return whether the rule sets say the same
+     */
+    public boolean isEmpty() {
+        return removed.isEmpty() && added.isEmpty() && changed.isEmpty();
+    }
+}
--- /dev/null
+++ b/rules/src/main/java/org/sassafrastrail/rules/RuleFileEditor.java
@@ -0,0 +1,31 @@
+package org.sassafrastrail.rules;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** Changes single rules in the text of a rule file and keeps all other lines as they are. */
+public final class RuleFileEditor {
+
+    /**
+     * Puts a rule in the place of the one on the same subject, or at the end.
+     *
+     * @param text the rule file
+     * @param rule the rule
+     * @return the changed rule file
+     */
+    public String put(String text, Rule rule) {
+        List<String> lines = text.lines().toList();
+        boolean present = lines.stream().anyMatch(line -> isAbout(line, rule));
+        Stream<String> changed = lines.stream().map(line -> isAbout(line, rule) ? rule.line() : line);
+        Stream<String> all = present ? changed : Stream.concat(changed, Stream.of(rule.line()));
+        return all.collect(Collectors.joining("\n", "", "\n"));
+    }
+
+    private static boolean isAbout(String text, Rule rule) {
+        List<Word> words = RuleLine.of(1, text).words();
+        return words.size() > 1
+                && rule.text()
+                        .startsWith(words.get(0).text() + " " + words.get(1).text() + " ");
+    }
+}
--- /dev/null
+++ b/rules/src/main/java/org/sassafrastrail/rules/RuleFileReader.java
@@ -0,0 +1,155 @@
+package org.sassafrastrail.rules;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/**
+ * Reads a whole rule file. Blank lines and lines that hold only a comment are passed over; Windows line ends and a byte
+ * order mark are accepted; an empty file is a rule set without rules.
+ */
+public final class RuleFileReader {
+
+    /** The longest line, in characters. */
+    public static final int MAXIMUM_LINE = 1000;
+
+    private static final String COMMENT_EXPECTED = "# and who asked for the rule";
+    private static final char BYTE_ORDER_MARK = '\uFEFF';
+
+    private final List<RuleReader> readers = List.of(
+            new AccountRuleReader(), new TargetRuleReader(), new FailureDomainRuleReader(), new MoveRuleReader());
+
+    /**
+     * Reads the bytes of a rule file.
+     *
+     * @param bytes the file, in UTF-8
+     * @return the rules, or every error
+     */
+    public RuleParsing read(byte[] bytes) {
+        try {
+            return read(StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(bytes))
+                    .toString());
+        } catch (CharacterCodingException malformed) {
+            return new RuleParsing.Rejected(
+                    List.of(new RuleError(1, 1, RuleError.Kind.BAD_CHARACTER, "a file in UTF-8")));
+        }
+    }
+
+    /**
+     * Reads the text of a rule file.
+     *
+     * @param text the file
+     * @return the rules, or every error
+     */
+    public RuleParsing read(String text) {
+        List<Reading> readings = readLines(text);
+        List<RuleError> errors = Stream.of(
+                        readings.stream().flatMap(reading -> reading.errors().stream()),
+                        duplicates(readings).stream(),
+                        unknownReferences(readings).stream())
+                .flatMap(stream -> stream)
+                .sorted(Comparator.comparingInt(RuleError::line).thenComparingInt(RuleError::column))
+                .toList();
+        if (!errors.isEmpty()) {
+            return new RuleParsing.Rejected(errors);
+        }
+        return new RuleParsing.Accepted(new RuleSet(
+                readings.stream().flatMap(reading -> reading.rule().stream()).toList()));
+    }
+
+    private List<Reading> readLines(String text) {
+        String clean = !text.isEmpty() && text.charAt(0) == BYTE_ORDER_MARK ? text.substring(1) : text;
+        List<String> lines = clean.lines().toList();
+        return IntStream.range(0, lines.size())
+                .mapToObj(place -> readLine(place + 1, lines.get(place)))
+                .toList();
+    }
+
+    private Reading readLine(int number, String text) {
+        RuleLine line = RuleLine.of(number, text);
+        List<RuleError> errors = new ArrayList<>(textErrors(line, text));
+        if (line.isBlank() || !errors.isEmpty()) {
+            return new Reading(line, Optional.empty(), errors);
+        }
+        if (line.comment().isEmpty()) {
+            errors.add(line.error(line.end(), RuleError.Kind.MISSING_COMMENT, COMMENT_EXPECTED));
+        }
+        return readRule(line, errors);
+    }
+
+    private Reading readRule(RuleLine line, List<RuleError> errors) {
+        String keyword = line.words().get(0).text();
+        Optional<RuleReader> reader =
+                readers.stream().filter(candidate -> candidate.reads(keyword)).findFirst();
+        if (reader.isEmpty()) {
+            errors.add(line.error(
+                    line.words().get(0).column(),
+                    RuleError.Kind.UNKNOWN_RULE,
+                    "account, model, service, domain or move"));
+            return new Reading(line, Optional.empty(), errors);
+        }
+        Clauses clauses = new Clauses(line);
+        Rule rule = reader.get().read(clauses, line.comment().orElse(""));
+        errors.addAll(clauses.errors());
+        return new Reading(line, errors.isEmpty() ? Optional.of(rule) : Optional.empty(), errors);
+    }
+
+    private static List<RuleError> textErrors(RuleLine line, String text) {
+        if (text.length() > MAXIMUM_LINE) {
+            return List.of(line.error(
+                    MAXIMUM_LINE + 1, RuleError.Kind.LINE_TOO_LONG, "at most " + MAXIMUM_LINE + " characters"));
+        }
+        return text.chars().anyMatch(character -> Character.isISOControl(character) && character != '\t')
+                ? List.of(line.error(1, RuleError.Kind.BAD_CHARACTER, "a line without control characters"))
+                : List.of();
+    }
+
+    private static List<RuleError> duplicates(List<Reading> readings) {
+        Map<String, Integer> firstLines = new HashMap<>();
+        return readings.stream()
+                .filter(reading -> reading.rule().isPresent())
+                .flatMap(reading -> duplicate(firstLines, reading).stream())
+                .toList();
+    }
+
+    private static Optional<RuleError> duplicate(Map<String, Integer> firstLines, Reading reading) {
+        Integer first = firstLines.putIfAbsent(
+                reading.rule().orElseThrow().subject(), reading.line().number());
+        return Optional.ofNullable(first).map(line -> reading.line()
+                .error(1, RuleError.Kind.DUPLICATE, "one rule on this subject; line " + line + " has it"));
+    }
+
+    private static List<RuleError> unknownReferences(List<Reading> readings) {
+        Set<String> targets = readings.stream()
+                .flatMap(reading -> reading.rule().stream())
+                .filter(TargetRule.class::isInstance)
+                .map(Rule::subject)
+                .collect(Collectors.toSet());
+        return readings.stream()
+                .filter(reading ->
+                        reading.rule().filter(MoveRule.class::isInstance).isPresent())
+                .filter(reading -> !targets.contains("target "
+                        + ((MoveRule) reading.rule().orElseThrow()).move().target()))
+                .map(reading -> reading.line()
+                        .error(
+                                reading.line().words().get(1).column(),
+                                RuleError.Kind.UNKNOWN_REFERENCE,
+                                "a model or service of this file"))
+                .toList();
+    }
+
+    /** What came of one line. */
+    private record Reading(RuleLine line, Optional<Rule> rule, List<RuleError> errors) {}
+}
