--- a/model/src/main/java/org/sassafrastrail/model/NotRunReason.java
+++ b/model/src/main/java/org/sassafrastrail/model/NotRunReason.java
@@ -14,8 +14,6 @@
     VERSION_SUSPENDED,
     /** The upstream refused the connection. */
     UPSTREAM_UNREACHABLE,
-    /** The upstream answered that it did not take the request. */
-    UPSTREAM_BUSY,
     /** The router could not reach the sidecar, which had not begun the attempt. */
     NEVER_ARRIVED
 }
--- /dev/null
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/ArrivalHandler.java
@@ -0,0 +1,118 @@
+package org.sassafrastrail.router.core;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.model.RefusalReason;
+import org.sassafrastrail.model.RequestIdentifier;
+import org.sassafrastrail.rules.AccountRule;
+import org.sassafrastrail.rules.TargetRule;
+
+/** Takes requests in, or refuses them before they ran. */
+final class ArrivalHandler {
+
+    private final DemandBoard demand;
+    private final RouterTimings timings;
+
+    ArrivalHandler(DemandBoard demand, RouterTimings timings) {
+        this.demand = demand;
+        this.timings = timings;
+    }
+
+    Transition<RouterState, RouterAction> arrived(RouterState state, RouterEvent.RequestArrived event, Instant now) {
+        Optional<AccountRule> account = state.rules().accountByKey(event.caller());
+        Optional<TargetRule> target = state.rules().target(event.target());
+        Optional<RefusalReason> objection = objection(state, account, target);
+        if (objection.isPresent()) {
+            return Transition.<RouterState, RouterAction>stay(state)
+                    .then(new RouterAction.Refuse(event.identifier(), objection.get()));
+        }
+        RouterRequest request = accept(event, account.orElseThrow(), target.orElseThrow(), now);
+        RouterState counted = state.with(state.retries().arrived());
+        return needsKey(request) ? claim(counted, request) : enqueue(counted, request, now);
+    }
+
+    Transition<RouterState, RouterAction> keyAnswered(RouterState state, RouterEvent.KeyAnswered event, Instant now) {
+        RouterRequest request = state.claiming().get(event.request());
+        if (request == null) {
+            return Transition.stay(state);
+        }
+        RouterState rest = state.withClaiming(state.claiming().minus(event.request()));
+        return switch (event.answer()) {
+            case OWNED -> enqueue(rest, request, now);
+            case HELD_BY_OTHER -> refuse(rest, request.identifier(), RefusalReason.IDEMPOTENCY_KEY_CLAIMED);
+            case UNAVAILABLE -> now.isBefore(request.deadline())
+                    ? Transition.<RouterState, RouterAction>stay(state)
+                            .then(new RouterAction.ClaimKey(
+                                    request, request.idempotencyKey().orElseThrow(), timings.keyRetry()))
+                    : refuse(rest, request.identifier(), RefusalReason.IDEMPOTENCY_STORE_UNAVAILABLE)
+                            .thenAll(Refusals.release(request));
+        };
+    }
+
+    Transition<RouterState, RouterAction> callerGone(RouterState state, RouterEvent.CallerGone event, Instant now) {
+        RouterState unclaimed = state.withClaiming(state.claiming().minus(event.request()));
+        return state.queues()
+                .find(event.request())
+                .map(waiting -> Refusals.refuse(unclaimed, waiting, RefusalReason.CALLER_GONE))
+                .orElse(Transition.stay(unclaimed));
+    }
+
+    private static Optional<RefusalReason> objection(
+            RouterState state, Optional<AccountRule> account, Optional<TargetRule> target) {
+        if (state.lifecycle().stopping()) {
+            return Optional.of(RefusalReason.ROUTER_STOPPING);
+        }
+        if (!state.configuration().present()) {
+            return Optional.of(RefusalReason.NO_CONFIGURATION);
+        }
+        if (account.isEmpty()) {
+            return Optional.of(RefusalReason.UNKNOWN_ACCOUNT);
+        }
+        if (target.isEmpty()) {
+            return Optional.of(RefusalReason.UNKNOWN_TARGET);
+        }
+        boolean full =
+                state.queues().size(account.get().name()) >= account.get().queueLimit();
+        return full ? Optional.of(RefusalReason.ACCOUNT_QUEUE_FULL) : Optional.empty();
+    }
+
+    private static RouterRequest accept(
+            RouterEvent.RequestArrived event, AccountRule account, TargetRule target, Instant now) {
+        return new RouterRequest(
+                event.identifier(),
+                account.name(),
+                target.name(),
+                event.route(),
+                event.safe() || target.repeatable(),
+                event.idempotencyKey(),
+                event.hint(),
+                now,
+                now.plus(event.patience()));
+    }
+
+    private static boolean needsKey(RouterRequest request) {
+        return !request.repeatable() && request.idempotencyKey().isPresent();
+    }
+
+    private static Transition<RouterState, RouterAction> claim(RouterState state, RouterRequest request) {
+        return Transition.<RouterState, RouterAction>stay(
+                        state.withClaiming(state.claiming().plus(request.identifier(), request)))
+                .then(new RouterAction.ClaimKey(
+                        request, request.idempotencyKey().orElseThrow(), Duration.ZERO));
+    }
+
+    private Transition<RouterState, RouterAction> enqueue(RouterState state, RouterRequest request, Instant now) {
+        return Transition.<RouterState, RouterAction>stay(
+                        state.with(state.queues().plus(WaitingRequest.fresh(request))))
+                .then(new RouterAction.Queued(request))
+                .and(next -> demand.tellSome(next, request, now));
+    }
+
+    private static Transition<RouterState, RouterAction> refuse(
+            RouterState state, RequestIdentifier request, RefusalReason reason) {
+        return Transition.<RouterState, RouterAction>stay(state).then(new RouterAction.Refuse(request, reason));
+    }
+}
--- /dev/null
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/AttemptHandler.java
@@ -0,0 +1,150 @@
+package org.sassafrastrail.router.core;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.messages.AttemptQuery;
+import org.sassafrastrail.messages.AttemptReport;
+import org.sassafrastrail.model.AttemptIdentifier;
+import org.sassafrastrail.model.AttemptOutcome;
+import org.sassafrastrail.model.NotRunReason;
+import org.sassafrastrail.model.RefusalReason;
+import org.sassafrastrail.model.RetryReason;
+import org.sassafrastrail.model.UnknownReason;
+
+/**
+ * Decides what follows from an attempt's outcome. A request that may not be repeated gets another attempt only after the
+ * sidecar has said that the last one did not run.
+ */
+final class AttemptHandler {
+
+    private final RouterTimings timings;
+
+    AttemptHandler(RouterTimings timings) {
+        this.timings = timings;
+    }
+
+    Transition<RouterState, RouterAction> started(RouterState state, RouterEvent.AnswerStarted event, Instant now) {
+        return current(state, event.attempt())
+                .map(running -> Transition.<RouterState, RouterAction>stay(put(state, running.answered())))
+                .orElse(Transition.stay(state));
+    }
+
+    Transition<RouterState, RouterAction> ended(RouterState state, RouterEvent.AttemptEnded event, Instant now) {
+        return current(state, event.attempt())
+                .map(running -> settle(state, running, event.outcome(), now))
+                .orElse(Transition.stay(state));
+    }
+
+    Transition<RouterState, RouterAction> lost(RouterState state, RouterEvent.AttemptLost event, Instant now) {
+        return current(state, event.attempt())
+                .map(running -> lost(state, running, now))
+                .orElse(Transition.stay(state));
+    }
+
+    /** The sidecar answered what became of an attempt. */
+    Transition<RouterState, RouterAction> reported(RouterState state, AttemptReport report, Instant now) {
+        Optional<RunningRequest> running = current(state, report.attempt())
+                .filter(candidate -> candidate.questionEnds().isPresent());
+        return running.map(asked -> settle(state, asked, outcome(report.state()), now))
+                .orElse(Transition.stay(state));
+    }
+
+    /** A sidecar's life has ended; questions to it will never be answered. */
+    Transition<RouterState, RouterAction> lifeEnded(RouterState state, RunningRequest running, Instant now) {
+        AttemptOutcome unknown = new AttemptOutcome.Unknown(UnknownReason.SIDECAR_RESTARTED);
+        return settle(state, running, unknown, now);
+    }
+
+    /** A sidecar has been silent for too long. */
+    Transition<RouterState, RouterAction> silent(RouterState state, RunningRequest running, Instant now) {
+        return lost(state, running, now).then(new RouterAction.Abandon(running.attempt()));
+    }
+
+    /** Nobody answered the question in time. */
+    Transition<RouterState, RouterAction> questionEnded(RouterState state, RunningRequest running, Instant now) {
+        return settle(state, running, new AttemptOutcome.Unknown(UnknownReason.SIDECAR_SILENT), now);
+    }
+
+    private Transition<RouterState, RouterAction> lost(RouterState state, RunningRequest running, Instant now) {
+        if (running.questionEnds().isPresent()) {
+            return Transition.stay(state);
+        }
+        if (running.waiting().request().repeatable()) {
+            return settle(state, running, new AttemptOutcome.Unknown(UnknownReason.SIDECAR_SILENT), now);
+        }
+        RunningRequest asked = running.questioned(now.plus(timings.question()));
+        return Transition.<RouterState, RouterAction>stay(put(state, asked)).then(question(asked));
+    }
+
+    RouterAction question(RunningRequest running) {
+        return new RouterAction.Tell(running.sidecar(), new AttemptQuery(running.attempt(), running.grant()));
+    }
+
+    private Transition<RouterState, RouterAction> settle(
+            RouterState state, RunningRequest running, AttemptOutcome outcome, Instant now) {
+        RouterRequest request = running.waiting().request();
+        RouterState rest = state.withRunning(state.running().minus(request.identifier()));
+        if (outcome instanceof AttemptOutcome.NotRun notRun) {
+            return notRun(rest, running, now);
+        }
+        if (outcome instanceof AttemptOutcome.UpstreamFailed failed) {
+            return request.repeatable()
+                    ? retry(rest, running, RetryReason.UPSTREAM_FAILED, answerFailed(running, failed.status()), now)
+                    : Transition.<RouterState, RouterAction>stay(rest).then(answerFailed(running, failed.status()));
+        }
+        if (outcome instanceof AttemptOutcome.Unknown unknown) {
+            RouterAction answer = new RouterAction.AnswerUnknown(request.identifier(), unknown.reason());
+            return request.repeatable()
+                    ? retry(rest, running, RetryReason.OUTCOME_UNKNOWN, answer, now)
+                    : Transition.<RouterState, RouterAction>stay(rest).then(answer);
+        }
+        return Transition.<RouterState, RouterAction>stay(rest).then(new RouterAction.Finished(request));
+    }
+
+    private Transition<RouterState, RouterAction> notRun(RouterState state, RunningRequest running, Instant now) {
+        RouterRequest request = running.waiting().request();
+        RouterAction refusal = new RouterAction.Refuse(request.identifier(), RefusalReason.RETRY_BUDGET_SPENT);
+        Transition<RouterState, RouterAction> again = retry(state, running, RetryReason.NOT_RUN, refusal, now);
+        return again.actions().contains(refusal) ? again.thenAll(Refusals.release(request)) : again;
+    }
+
+    private Transition<RouterState, RouterAction> retry(
+            RouterState state, RunningRequest running, RetryReason reason, RouterAction otherwise, Instant now) {
+        AttemptIdentifier attempt = running.attempt();
+        Optional<Duration> wait =
+                running.answering() ? Optional.empty() : state.retries().again(attempt, reason);
+        if (wait.isEmpty()) {
+            return Transition.<RouterState, RouterAction>stay(state).then(otherwise);
+        }
+        WaitingRequest waiting = running.waiting().avoiding(running.sidecar()).again(now.plus(wait.get()));
+        RouterState next = state.with(state.queues().plusTried(waiting))
+                .with(state.retries().spent(reason));
+        return Transition.<RouterState, RouterAction>stay(next)
+                .then(new RouterAction.Retry(attempt, reason, wait.get()));
+    }
+
+    private static RouterAction answerFailed(RunningRequest running, int status) {
+        return new RouterAction.AnswerFailed(running.waiting().request().identifier(), status);
+    }
+
+    private static AttemptOutcome outcome(AttemptReport.State state) {
+        return switch (state) {
+            case NOT_BEGUN -> new AttemptOutcome.NotRun(NotRunReason.NEVER_ARRIVED);
+            case BEGUN -> new AttemptOutcome.Unknown(UnknownReason.UPSTREAM_CONNECTION_LOST);
+            case FORGOTTEN -> new AttemptOutcome.Unknown(UnknownReason.SIDECAR_RESTARTED);
+        };
+    }
+
+    private static Optional<RunningRequest> current(RouterState state, AttemptIdentifier attempt) {
+        return Optional.ofNullable(state.running().get(attempt.request()))
+                .filter(running -> running.attempt().equals(attempt));
+    }
+
+    private static RouterState put(RouterState state, RunningRequest running) {
+        return state.withRunning(
+                state.running().plus(running.waiting().request().identifier(), running));
+    }
+}
--- /dev/null
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/ConfigurationHandler.java
@@ -0,0 +1,49 @@
+package org.sassafrastrail.router.core;
+
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.messages.Heartbeat;
+import org.sassafrastrail.messages.RulesAnnouncement;
+import org.sassafrastrail.messages.RulesRequest;
+import org.sassafrastrail.model.Revision;
+import org.sassafrastrail.rules.RuleDocument;
+
+/** Keeps the configuration at the newest revision that was heard of, and passes it on. */
+final class ConfigurationHandler {
+
+    /** Takes over a newer rule file; an older one is passed over, so a node never goes back. */
+    Transition<RouterState, RouterAction> learned(RouterState state, RuleDocument document) {
+        RouterConfiguration known = state.configuration();
+        if (!known.isOlderThan(document)) {
+            return Transition.stay(state.with(known.confirmed(true)));
+        }
+        RouterState next = state.with(new RouterConfiguration(document, document.rules(), true));
+        return Transition.<RouterState, RouterAction>stay(next)
+                .then(new RouterAction.Adopted(document))
+                .thenAll(next.sidecars().keySet().stream()
+                        .map(node -> new RouterAction.Tell(node, new RulesAnnouncement(document)))
+                        .toList());
+    }
+
+    Transition<RouterState, RouterAction> platformSilent(RouterState state) {
+        return Transition.stay(
+                state.with(state.configuration().confirmed(state.configuration().present())));
+    }
+
+    Transition<RouterState, RouterAction> heartbeat(RouterState state, SidecarLink link, Heartbeat heartbeat) {
+        Revision known = state.configuration().document().revision();
+        Transition<RouterState, RouterAction> stay = Transition.stay(state);
+        if (heartbeat.revision().isNewerThan(known)) {
+            return stay.then(new RouterAction.Tell(link.node(), new RulesRequest(known)));
+        }
+        return known.isNewerThan(heartbeat.revision()) ? requested(state, link) : stay;
+    }
+
+    Transition<RouterState, RouterAction> requested(RouterState state, SidecarLink link) {
+        return state.configuration().present()
+                ? Transition.<RouterState, RouterAction>stay(state)
+                        .then(new RouterAction.Tell(
+                                link.node(),
+                                new RulesAnnouncement(state.configuration().document())))
+                : Transition.stay(state);
+    }
+}
--- /dev/null
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/DemandBoard.java
@@ -0,0 +1,103 @@
+package org.sassafrastrail.router.core;
+
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.fairness.LedgerKey;
+import org.sassafrastrail.messages.AccountDemand;
+import org.sassafrastrail.messages.Demand;
+import org.sassafrastrail.model.AccountName;
+
+/**
+ * Tells sidecars what waits. A fresh request is told at once to a few sidecars that seem free; the others hear of it with
+ * the next tick, if it still waits.
+ */
+final class DemandBoard {
+
+    /** How many sidecars hear of a fresh request at once. */
+    private static final int TOLD_AT_ONCE = 2;
+
+    private final Eligibility eligibility;
+
+    DemandBoard(Eligibility eligibility) {
+        this.eligibility = eligibility;
+    }
+
+    /** Tells a few sidecars of a fresh request. */
+    Transition<RouterState, RouterAction> tellSome(RouterState state, RouterRequest request, Instant now) {
+        int turn = Math.floorMod(
+                request.identifier().hashCode(), Math.max(1, state.sidecars().size()));
+        List<SidecarLink> ordered = state.sidecars().values().stream()
+                .filter(link -> link.profile().target().equals(request.target()))
+                .filter(link -> eligibility.objection(state, link.profile()).isEmpty())
+                .sorted(Comparator.comparing(SidecarLink::node))
+                .toList();
+        Stream<SidecarLink> rotated =
+                Stream.concat(ordered.stream().skip(turn), ordered.stream().limit(turn));
+        return rotated.sorted(Comparator.comparing(link -> !link.seemsFree()))
+                .limit(TOLD_AT_ONCE)
+                .reduce(
+                        Transition.<RouterState, RouterAction>stay(state),
+                        (sofar, link) -> sofar.and(next -> tell(next, link, now)),
+                        (first, second) -> second);
+    }
+
+    /** Tells every sidecar whatever has changed. */
+    Transition<RouterState, RouterAction> tellAll(RouterState state, Instant now) {
+        return state.sidecars().values().stream()
+                .reduce(
+                        Transition.<RouterState, RouterAction>stay(state),
+                        (sofar, link) -> sofar.and(next -> tell(next, link, now)),
+                        (first, second) -> second);
+    }
+
+    private Transition<RouterState, RouterAction> tell(RouterState state, SidecarLink link, Instant now) {
+        PMap<AccountName, AccountDemand> demand = demand(state, link, now);
+        List<AccountDemand> changes = Stream.concat(
+                        demand.values().stream()
+                                .filter(account ->
+                                        account.waiting() != link.told().getOrDefault(account.account(), 0)),
+                        link.told().keySet().stream()
+                                .filter(account -> !demand.containsKey(account))
+                                .map(account -> new AccountDemand(account, 0, 0, 0)))
+                .sorted(Comparator.comparing(AccountDemand::account))
+                .toList();
+        if (changes.isEmpty()) {
+            return Transition.stay(state);
+        }
+        PMap<AccountName, Integer> told = HashTreePMap.from(
+                demand.values().stream().collect(Collectors.toMap(AccountDemand::account, AccountDemand::waiting)));
+        return Transition.<RouterState, RouterAction>stay(state.with(link.told(told)))
+                .then(new RouterAction.Tell(link.node(), new Demand(changes)));
+    }
+
+    private PMap<AccountName, AccountDemand> demand(RouterState state, SidecarLink link, Instant now) {
+        if (eligibility.objection(state, link.profile()).isPresent()) {
+            return HashTreePMap.empty();
+        }
+        long room = eligibility.room(state, link.profile());
+        return HashTreePMap.from(state.queues().keys(link.profile().target()).stream()
+                .map(key -> demand(state, link, key, room, now))
+                .flatMap(Optional::stream)
+                .collect(Collectors.toMap(AccountDemand::account, Function.identity())));
+    }
+
+    private static Optional<AccountDemand> demand(
+            RouterState state, SidecarLink link, LedgerKey key, long room, Instant now) {
+        return state.queues()
+                .oldest(key, link.node(), now)
+                .map(oldest -> new AccountDemand(
+                        key.account(),
+                        (int) Math.min(room, state.queues().waiting(key, link.node(), now)),
+                        oldest.request().hint(),
+                        oldest.request().age(now).toMillis()));
+    }
+}
--- /dev/null
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/Eligibility.java
@@ -0,0 +1,56 @@
+package org.sassafrastrail.router.core;
+
+import java.util.Optional;
+
+import org.sassafrastrail.model.GrantReturnReason;
+import org.sassafrastrail.model.MoveIdentifier;
+import org.sassafrastrail.model.TrafficShare;
+import org.sassafrastrail.model.UpstreamProfile;
+import org.sassafrastrail.rules.MoveRule;
+import org.sassafrastrail.rules.RuleSet;
+
+/** Decides whether an upstream may get work from this router now. */
+final class Eligibility {
+
+    /** Tells why an upstream may not get work; empty if it may. */
+    Optional<GrantReturnReason> objection(RouterState state, UpstreamProfile profile) {
+        if (!state.configuration().present() || !state.configuration().confirmed()) {
+            return Optional.of(GrantReturnReason.CONFIGURATION_UNCONFIRMED);
+        }
+        RuleSet rules = state.rules();
+        if (!rules.inService(profile.failureDomain())) {
+            return Optional.of(GrantReturnReason.FAILURE_DOMAIN_OUT);
+        }
+        if (state.board().isSuspended(rules, profile.target(), profile.version())) {
+            return Optional.of(GrantReturnReason.VERSION_SUSPENDED);
+        }
+        return room(state, profile) > 0 ? Optional.empty() : Optional.of(GrantReturnReason.VERSION_SHARE_REACHED);
+    }
+
+    /** Tells how many more requests the upstream's version may get from this router. */
+    long room(RouterState state, UpstreamProfile profile) {
+        TrafficShare share = state.board().share(state.rules(), profile.target(), profile.version());
+        if (share.equals(TrafficShare.NONE)) {
+            return 0;
+        }
+        return newVersionMove(state, profile)
+                .map(move -> state.shares().room(move, share))
+                .orElse(Long.MAX_VALUE);
+    }
+
+    /** Counts a dispatch to the upstream. */
+    VersionShares counted(RouterState state, UpstreamProfile profile) {
+        Optional<MoveIdentifier> move = state.rules().move(profile.target()).map(MoveRule::move);
+        return move.map(present -> state.shares()
+                        .plus(
+                                present,
+                                state.board().share(state.rules(), profile.target(), present.to()),
+                                present.to().equals(profile.version())))
+                .orElse(state.shares());
+    }
+
+    private static Optional<MoveIdentifier> newVersionMove(RouterState state, UpstreamProfile profile) {
+        return state.rules().move(profile.target()).map(MoveRule::move).filter(move -> move.to()
+                .equals(profile.version()));
+    }
+}
--- /dev/null
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/GrantHandler.java
@@ -0,0 +1,51 @@
+package org.sassafrastrail.router.core;
+
+import java.time.Instant;
+import java.util.Optional;
+
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.fairness.LedgerKey;
+import org.sassafrastrail.messages.GrantOffer;
+import org.sassafrastrail.messages.GrantReturn;
+import org.sassafrastrail.model.GrantReturnReason;
+
+/** Answers grants: with the oldest request of the account, or by returning them at once. */
+final class GrantHandler {
+
+    private final Eligibility eligibility;
+
+    GrantHandler(Eligibility eligibility) {
+        this.eligibility = eligibility;
+    }
+
+    Transition<RouterState, RouterAction> offered(RouterState state, SidecarLink link, GrantOffer offer, Instant now) {
+        Optional<GrantReturnReason> objection = eligibility.objection(state, link.profile());
+        if (objection.isPresent()) {
+            return giveBack(state.with(link.granted(offer.account())), link, offer, objection.get());
+        }
+        LedgerKey key = new LedgerKey(link.profile().target(), offer.account());
+        return state.queues()
+                .oldest(key, link.node(), now)
+                .map(waiting -> dispatch(state.with(link.granted(offer.account())), link, offer, waiting))
+                .orElseGet(() -> giveBack(
+                        state.with(link.forgotten(offer.account())), link, offer, GrantReturnReason.NO_DEMAND));
+    }
+
+    private Transition<RouterState, RouterAction> dispatch(
+            RouterState state, SidecarLink link, GrantOffer offer, WaitingRequest waiting) {
+        RouterRequest request = waiting.request();
+        RunningRequest running = new RunningRequest(waiting.attempted(), offer.grant(), false, Optional.empty());
+        RouterState next = state.with(state.queues().minus(waiting))
+                .withRunning(state.running().plus(request.identifier(), running))
+                .with(eligibility.counted(state, link.profile()));
+        return Transition.<RouterState, RouterAction>stay(next)
+                .then(new RouterAction.Dispatch(request, running.attempt(), offer.grant()));
+    }
+
+    private static Transition<RouterState, RouterAction> giveBack(
+            RouterState state, SidecarLink link, GrantOffer offer, GrantReturnReason reason) {
+        return Transition.<RouterState, RouterAction>stay(state)
+                .then(new RouterAction.Tell(link.node(), new GrantReturn(offer.grant(), reason)))
+                .then(new RouterAction.Returned(offer.grant(), reason));
+    }
+}
--- /dev/null
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/JitteredBackoff.java
@@ -0,0 +1,35 @@
+package org.sassafrastrail.router.core;
+
+import java.time.Duration;
+import java.util.SplittableRandom;
+
+import org.sassafrastrail.model.AttemptIdentifier;
+
+/**
+ * Doubles the longest wait with each attempt and waits a random part of it. The part is drawn from the seed and the
+ * attempt, so the same attempt always waits as long.
+ */
+public final class JitteredBackoff implements Backoff {
+
+    private static final int MOST_DOUBLINGS = 6;
+
+    private final long seed;
+    private final Duration first;
+
+    /**
+     * Sets the waits.
+     *
+     * @param seed the seed of the random parts
+     * @param first the longest wait after the first attempt
+     */
+    public JitteredBackoff(long seed, Duration first) {
+        this.seed = seed;
+        this.first = first;
+    }
+
+    @Override
+    public Duration after(AttemptIdentifier attempt) {
+        long longest = first.toMillis() << Math.min(attempt.number() - 1, MOST_DOUBLINGS);
+        return Duration.ofMillis(new SplittableRandom(seed ^ attempt.hashCode()).nextLong(longest + 1));
+    }
+}
--- /dev/null
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/LinkHandler.java
@@ -0,0 +1,120 @@
+package org.sassafrastrail.router.core;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.messages.AttemptReport;
+import org.sassafrastrail.messages.EvidenceUpdate;
+import org.sassafrastrail.messages.GrantOffer;
+import org.sassafrastrail.messages.Heartbeat;
+import org.sassafrastrail.messages.LedgerUpdate;
+import org.sassafrastrail.messages.Message;
+import org.sassafrastrail.messages.MoveUpdate;
+import org.sassafrastrail.messages.RulesAnnouncement;
+import org.sassafrastrail.messages.RulesRequest;
+import org.sassafrastrail.model.Revision;
+import org.sassafrastrail.model.TargetName;
+
+/** Handles links to sidecars and what comes over them. */
+final class LinkHandler {
+
+    private final GrantHandler grants;
+    private final AttemptHandler attempts;
+    private final ConfigurationHandler configuration;
+    private final MoveHandler moves;
+
+    LinkHandler(GrantHandler grants, AttemptHandler attempts, ConfigurationHandler configuration, MoveHandler moves) {
+        this.grants = grants;
+        this.attempts = attempts;
+        this.configuration = configuration;
+        this.moves = moves;
+    }
+
+    /** A sidecar that has just connected first hears all that is known, and only then what waits. */
+    Transition<RouterState, RouterAction> connected(
+            RouterState state, RouterEvent.SidecarConnected event, Instant now) {
+        SidecarLink link = SidecarLink.fresh(event.node(), event.incarnation(), event.profile(), now);
+        TargetName target = event.profile().target();
+        return Transition.<RouterState, RouterAction>stay(state.with(link))
+                .thenAll(greeting(state, target).stream()
+                        .map(message -> new RouterAction.Tell(event.node(), message))
+                        .toList())
+                .and(next -> askAgain(next, link, now));
+    }
+
+    Transition<RouterState, RouterAction> disconnected(
+            RouterState state, RouterEvent.SidecarDisconnected event, Instant now) {
+        boolean current = Optional.ofNullable(state.sidecars().get(event.node()))
+                .filter(link -> link.incarnation().equals(event.incarnation()))
+                .isPresent();
+        return Transition.stay(current ? state.withSidecars(state.sidecars().minus(event.node())) : state);
+    }
+
+    Transition<RouterState, RouterAction> said(RouterState state, RouterEvent.SidecarSaid event, Instant now) {
+        SidecarLink link = state.sidecars().get(event.node());
+        if (link == null) {
+            return Transition.stay(state);
+        }
+        SidecarLink heard = link.heard(now);
+        return handle(state.with(heard), heard, event.message(), now);
+    }
+
+    private Transition<RouterState, RouterAction> handle(
+            RouterState state, SidecarLink link, Message message, Instant now) {
+        if (message instanceof GrantOffer offer) {
+            return grants.offered(state, link, offer, now);
+        }
+        if (message instanceof AttemptReport report) {
+            return attempts.reported(state, report, now);
+        }
+        if (message instanceof LedgerUpdate update) {
+            return Transition.stay(state.with(state.ledger().merge(update.entries())));
+        }
+        if (message instanceof EvidenceUpdate update) {
+            return moves.evidence(state, update);
+        }
+        if (message instanceof MoveUpdate update) {
+            return moves.learned(state, update.progress(), update.suspensions());
+        }
+        if (message instanceof Heartbeat heartbeat) {
+            return configuration.heartbeat(state.with(link.with(heartbeat)), link, heartbeat);
+        }
+        if (message instanceof RulesRequest) {
+            return configuration.requested(state, link);
+        }
+        if (message instanceof RulesAnnouncement announcement) {
+            return configuration.learned(state, announcement.document());
+        }
+        return Transition.stay(state);
+    }
+
+    private static List<Message> greeting(RouterState state, TargetName target) {
+        Message moves = new MoveUpdate(state.board().steps(), state.board().suspensions());
+        Message ledger = new LedgerUpdate(state.ledger().entries().stream()
+                .filter(entry -> entry.key().target().equals(target))
+                .toList());
+        Revision revision = state.configuration().document().revision();
+        return state.configuration().present()
+                ? List.of(new RulesAnnouncement(state.configuration().document()), moves, ledger)
+                : List.of(new RulesRequest(revision), moves, ledger);
+    }
+
+    private Transition<RouterState, RouterAction> askAgain(RouterState state, SidecarLink link, Instant now) {
+        return state.running().values().stream()
+                .filter(running -> running.sidecar().equals(link.node()))
+                .filter(running -> running.questionEnds().isPresent())
+                .reduce(
+                        Transition.<RouterState, RouterAction>stay(state),
+                        (sofar, running) -> sofar.and(next -> askAgain(next, link, running, now)),
+                        (first, second) -> second);
+    }
+
+    private Transition<RouterState, RouterAction> askAgain(
+            RouterState state, SidecarLink link, RunningRequest running, Instant now) {
+        return running.grant().incarnation().equals(link.incarnation())
+                ? Transition.<RouterState, RouterAction>stay(state).then(attempts.question(running))
+                : attempts.lifeEnded(state, running, now);
+    }
+}
--- /dev/null
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/MoveHandler.java
@@ -0,0 +1,62 @@
+package org.sassafrastrail.router.core;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.messages.EvidenceUpdate;
+import org.sassafrastrail.messages.MoveProgress;
+import org.sassafrastrail.messages.MoveUpdate;
+import org.sassafrastrail.messages.Suspension;
+import org.sassafrastrail.model.MoveIdentifier;
+import org.sassafrastrail.rollout.FaultDetector;
+import org.sassafrastrail.rollout.MoveBoard;
+import org.sassafrastrail.rules.MoveRule;
+
+/** Learns of moves, and suspends a version as soon as its faults show, without asking the platform. */
+final class MoveHandler {
+
+    private final FaultDetector detector;
+
+    MoveHandler(FaultDetector detector) {
+        this.detector = detector;
+    }
+
+    Transition<RouterState, RouterAction> learned(
+            RouterState state, List<MoveProgress> steps, List<Suspension> suspensions) {
+        MoveBoard merged = state.board().merge(steps, suspensions);
+        return merged == state.board() ? Transition.stay(state) : passOn(state.with(merged));
+    }
+
+    Transition<RouterState, RouterAction> evidence(RouterState state, EvidenceUpdate update) {
+        RouterState known = state.with(state.evidence().merge(update.entries()));
+        return known.rules().moves().stream()
+                .map(MoveRule::move)
+                .filter(move -> known.board().suspension(move).isEmpty())
+                .filter(move -> known.board().progress(move).verdict() == MoveProgress.Verdict.RUNNING)
+                .map(move -> suspension(known, move))
+                .flatMap(Optional::stream)
+                .reduce(
+                        Transition.<RouterState, RouterAction>stay(known),
+                        (sofar, suspension) -> sofar.and(next -> suspend(next, suspension)),
+                        (first, second) -> second);
+    }
+
+    private Optional<Suspension> suspension(RouterState state, MoveIdentifier move) {
+        MoveProgress.Reason reason = detector.judge(
+                state.evidence().evidence(move, move.to()), state.evidence().evidence(move, move.from()));
+        return reason == MoveProgress.Reason.NONE ? Optional.empty() : Optional.of(new Suspension(move, reason));
+    }
+
+    private static Transition<RouterState, RouterAction> suspend(RouterState state, Suspension suspension) {
+        return passOn(state.with(state.board().plus(suspension))).then(new RouterAction.Suspended(suspension));
+    }
+
+    private static Transition<RouterState, RouterAction> passOn(RouterState state) {
+        MoveUpdate update = new MoveUpdate(state.board().steps(), state.board().suspensions());
+        return Transition.<RouterState, RouterAction>stay(state)
+                .thenAll(state.sidecars().keySet().stream()
+                        .map(node -> new RouterAction.Tell(node, update))
+                        .toList());
+    }
+}
--- /dev/null
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/RouterCore.java
@@ -0,0 +1,58 @@
+package org.sassafrastrail.router.core;
+
+import java.time.Instant;
+
+import org.sassafrastrail.decision.DecisionCore;
+import org.sassafrastrail.decision.EventRouter;
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.rollout.FaultDetector;
+
+/** The decisions of a router, put together from one handler for each kind of event. */
+public final class RouterCore implements DecisionCore<RouterState, RouterEvent, RouterAction> {
+
+    private final DecisionCore<RouterState, RouterEvent, RouterAction> handlers;
+
+    /**
+     * Makes the core.
+     *
+     * @param timings the router's waits
+     * @param detector judges whether a new version is bad
+     */
+    public RouterCore(RouterTimings timings, FaultDetector detector) {
+        Eligibility eligibility = new Eligibility();
+        DemandBoard demand = new DemandBoard(eligibility);
+        ArrivalHandler arrivals = new ArrivalHandler(demand, timings);
+        AttemptHandler attempts = new AttemptHandler(timings);
+        ConfigurationHandler configuration = new ConfigurationHandler();
+        MoveHandler moves = new MoveHandler(detector);
+        LinkHandler links = new LinkHandler(new GrantHandler(eligibility), attempts, configuration, moves);
+        TickHandler ticks = new TickHandler(demand, attempts, timings);
+        this.handlers = EventRouter.<RouterState, RouterEvent, RouterAction>over(RouterEvent.class)
+                .on(RouterEvent.RequestArrived.class, arrivals::arrived)
+                .on(RouterEvent.CallerGone.class, arrivals::callerGone)
+                .on(RouterEvent.KeyAnswered.class, arrivals::keyAnswered)
+                .on(RouterEvent.AnswerStarted.class, attempts::started)
+                .on(RouterEvent.AttemptEnded.class, attempts::ended)
+                .on(RouterEvent.AttemptLost.class, attempts::lost)
+                .on(RouterEvent.SidecarConnected.class, links::connected)
+                .on(RouterEvent.SidecarDisconnected.class, links::disconnected)
+                .on(RouterEvent.SidecarSaid.class, links::said)
+                .on(RouterEvent.RulesRead.class, (state, event, now) -> configuration.learned(state, event.document()))
+                .on(RouterEvent.PlatformSilent.class, (state, event, now) -> configuration.platformSilent(state))
+                .on(
+                        RouterEvent.MovesLearned.class,
+                        (state, event, now) -> moves.learned(state, event.steps(), event.suspensions()))
+                .on(RouterEvent.StopRequested.class, (state, event, now) -> stop(state))
+                .on(RouterEvent.Tick.class, (state, event, now) -> ticks.tick(state, now))
+                .complete();
+    }
+
+    @Override
+    public Transition<RouterState, RouterAction> handle(RouterState state, RouterEvent event, Instant now) {
+        return handlers.handle(state, event, now);
+    }
+
+    private static Transition<RouterState, RouterAction> stop(RouterState state) {
+        return Transition.stay(state.with(state.lifecycle().stopped()));
+    }
+}
--- /dev/null
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/RouterState.java
@@ -0,0 +1,167 @@
+package org.sassafrastrail.router.core;
+
+import java.time.Instant;
+
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+import org.sassafrastrail.fairness.ServiceLedger;
+import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.model.RequestIdentifier;
+import org.sassafrastrail.rollout.EvidenceLedger;
+import org.sassafrastrail.rollout.MoveBoard;
+import org.sassafrastrail.rules.RuleSet;
+
+/**
+ * Everything a router knows.
+ *
+ * @param configuration the configuration in force
+ * @param queues the waiting requests
+ * @param claiming requests that wait for their idempotency key
+ * @param running requests with an attempt under way
+ * @param sidecars the linked sidecars
+ * @param ledger the service given, as far as heard
+ * @param evidence the evidence on versions, as far as heard
+ * @param board the moves, as far as heard
+ * @param shares this router's dispatches since the last step of each move
+ * @param retries whether another try is allowed
+ * @param lifecycle whether the router takes requests, and its last ticks
+ */
+public record RouterState(
+        RouterConfiguration configuration,
+        RequestQueues queues,
+        PMap<RequestIdentifier, RouterRequest> claiming,
+        PMap<RequestIdentifier, RunningRequest> running,
+        PMap<NodeName, SidecarLink> sidecars,
+        ServiceLedger ledger,
+        EvidenceLedger evidence,
+        MoveBoard board,
+        VersionShares shares,
+        RetryPolicy retries,
+        Lifecycle lifecycle) {
+
+    /**
+     * Whether the router takes requests, and its last ticks.
+     *
+     * @param stopping whether it takes no new request
+     * @param lastTick the last tick
+     * @param lastSharing when ledger entries were last passed on
+     * @param lastHeartbeat when the router last said that it is alive
+     */
+    public record Lifecycle(boolean stopping, Instant lastTick, Instant lastSharing, Instant lastHeartbeat) {
+
+        Lifecycle stopped() {
+            return new Lifecycle(true, lastTick, lastSharing, lastHeartbeat);
+        }
+
+        Lifecycle ticked(Instant now) {
+            return new Lifecycle(stopping, now, lastSharing, lastHeartbeat);
+        }
+
+        Lifecycle shared(Instant now) {
+            return new Lifecycle(stopping, lastTick, now, lastHeartbeat);
+        }
+
+        Lifecycle beaten(Instant now) {
+            return new Lifecycle(stopping, lastTick, lastSharing, now);
+        }
+    }
+
+    /**
+     * Starts with empty memory.
+     *
+     * @param retries whether another try is allowed
+     * @param now the time
+     * @return the state of a router that knows nothing yet
+     */
+    public static RouterState start(RetryPolicy retries, Instant now) {
+        return new RouterState(
+                RouterConfiguration.NONE,
+                RequestQueues.EMPTY,
+                HashTreePMap.empty(),
+                HashTreePMap.empty(),
+                HashTreePMap.empty(),
+                ServiceLedger.EMPTY,
+                EvidenceLedger.EMPTY,
+                MoveBoard.EMPTY,
+                VersionShares.EMPTY,
+                retries,
+                new Lifecycle(false, now, now, now));
+    }
+
+    /**
+     * Returns the rules in force.
+     *
+     * @return the rules
+     */
+    public RuleSet rules() {
+        return configuration.rules();
+    }
+
+    /**
+     * Tells whether no request waits or runs.
+     *
+     * @return whether the router has nothing left to answer
+     */
+    public boolean idle() {
+        return queues.size() == 0 && claiming.isEmpty() && running.isEmpty();
+    }
+
+    RouterState with(RouterConfiguration next) {
+        return new RouterState(
+                next, queues, claiming, running, sidecars, ledger, evidence, board, shares, retries, lifecycle);
+    }
+
+    RouterState with(RequestQueues next) {
+        return new RouterState(
+                configuration, next, claiming, running, sidecars, ledger, evidence, board, shares, retries, lifecycle);
+    }
+
+    RouterState withClaiming(PMap<RequestIdentifier, RouterRequest> next) {
+        return new RouterState(
+                configuration, queues, next, running, sidecars, ledger, evidence, board, shares, retries, lifecycle);
+    }
+
+    RouterState withRunning(PMap<RequestIdentifier, RunningRequest> next) {
+        return new RouterState(
+                configuration, queues, claiming, next, sidecars, ledger, evidence, board, shares, retries, lifecycle);
+    }
+
+    RouterState withSidecars(PMap<NodeName, SidecarLink> next) {
+        return new RouterState(
+                configuration, queues, claiming, running, next, ledger, evidence, board, shares, retries, lifecycle);
+    }
+
+    RouterState with(SidecarLink link) {
+        return withSidecars(sidecars.plus(link.node(), link));
+    }
+
+    RouterState with(ServiceLedger next) {
+        return new RouterState(
+                configuration, queues, claiming, running, sidecars, next, evidence, board, shares, retries, lifecycle);
+    }
+
+    RouterState with(EvidenceLedger next) {
+        return new RouterState(
+                configuration, queues, claiming, running, sidecars, ledger, next, board, shares, retries, lifecycle);
+    }
+
+    RouterState with(MoveBoard next) {
+        return new RouterState(
+                configuration, queues, claiming, running, sidecars, ledger, evidence, next, shares, retries, lifecycle);
+    }
+
+    RouterState with(VersionShares next) {
+        return new RouterState(
+                configuration, queues, claiming, running, sidecars, ledger, evidence, board, next, retries, lifecycle);
+    }
+
+    RouterState with(RetryPolicy next) {
+        return new RouterState(
+                configuration, queues, claiming, running, sidecars, ledger, evidence, board, shares, next, lifecycle);
+    }
+
+    RouterState with(Lifecycle next) {
+        return new RouterState(
+                configuration, queues, claiming, running, sidecars, ledger, evidence, board, shares, retries, next);
+    }
+}
--- /dev/null
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/TickHandler.java
@@ -0,0 +1,154 @@
+package org.sassafrastrail.router.core;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.fairness.LedgerEntry;
+import org.sassafrastrail.messages.Heartbeat;
+import org.sassafrastrail.messages.LedgerUpdate;
+import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.model.RefusalReason;
+import org.sassafrastrail.model.TargetName;
+
+/** Does what only the passing of time brings about. */
+final class TickHandler {
+
+    private final DemandBoard demand;
+    private final AttemptHandler attempts;
+    private final RouterTimings timings;
+
+    TickHandler(DemandBoard demand, AttemptHandler attempts, RouterTimings timings) {
+        this.demand = demand;
+        this.attempts = attempts;
+        this.timings = timings;
+    }
+
+    Transition<RouterState, RouterAction> tick(RouterState state, Instant now) {
+        return Transition.<RouterState, RouterAction>stay(state)
+                .and(next -> noticePause(next, now))
+                .and(next -> refuseLate(next, now))
+                .and(next -> endQuestions(next, now))
+                .and(next -> takeFromSilent(next, now))
+                .and(next -> demand.tellAll(next, now))
+                .and(next -> share(next, now))
+                .and(next -> beat(next, now))
+                .and(TickHandler::noticeDrained);
+    }
+
+    /** A process that was frozen may have missed a change, so it confirms its configuration before it goes on. */
+    private Transition<RouterState, RouterAction> noticePause(RouterState state, Instant now) {
+        Duration gap = Duration.between(state.lifecycle().lastTick(), now);
+        RouterState ticked = state.with(state.lifecycle().ticked(now));
+        return gap.compareTo(timings.pause()) <= 0
+                ? Transition.stay(ticked)
+                : Transition.<RouterState, RouterAction>stay(
+                                ticked.with(ticked.configuration().confirmed(false)))
+                        .then(new RouterAction.ReadRules());
+    }
+
+    private Transition<RouterState, RouterAction> refuseLate(RouterState state, Instant now) {
+        return state.queues().late(now).stream()
+                .reduce(
+                        Transition.<RouterState, RouterAction>stay(state),
+                        (sofar, late) ->
+                                sofar.and(next -> Refusals.refuse(next, late, RefusalReason.DEADLINE_EXCEEDED)),
+                        (first, second) -> second);
+    }
+
+    private Transition<RouterState, RouterAction> endQuestions(RouterState state, Instant now) {
+        return forEach(
+                state,
+                state.running().values().stream().filter(running -> running.questionEnds()
+                        .filter(end -> !now.isBefore(end))
+                        .isPresent()),
+                (next, running) -> attempts.questionEnded(next, running, now));
+    }
+
+    private Transition<RouterState, RouterAction> takeFromSilent(RouterState state, Instant now) {
+        return forEach(
+                state,
+                state.running().values().stream()
+                        .filter(running -> !running.answering())
+                        .filter(running -> running.questionEnds().isEmpty())
+                        .filter(running -> isSilent(state, running.sidecar(), now)),
+                (next, running) -> attempts.silent(next, running, now));
+    }
+
+    private boolean isSilent(RouterState state, NodeName sidecar, Instant now) {
+        SidecarLink link = state.sidecars().get(sidecar);
+        return link != null && Duration.between(link.heardAt(), now).compareTo(timings.silence()) > 0;
+    }
+
+    private Transition<RouterState, RouterAction> share(RouterState state, Instant now) {
+        Duration since = Duration.between(state.lifecycle().lastSharing(), now);
+        if (since.compareTo(timings.sharing()) < 0) {
+            return Transition.stay(state);
+        }
+        List<LedgerEntry> news = state.ledger().unsent();
+        Set<NodeName> sidecars = state.sidecars().keySet();
+        RouterState shared =
+                state.with(state.ledger().sent()).with(state.lifecycle().shared(now));
+        return Transition.<RouterState, RouterAction>stay(shared)
+                .thenAll(sidecars.stream()
+                        .flatMap(node -> share(state, state.sidecars().get(node), news))
+                        .toList());
+    }
+
+    private static Stream<RouterAction> share(RouterState state, SidecarLink link, List<LedgerEntry> news) {
+        TargetName target = link.profile().target();
+        List<LedgerEntry> foreign = news.stream()
+                .filter(entry -> entry.key().target().equals(target))
+                .filter(entry -> !entry.writer().node().equals(link.node())
+                        || !entry.writer().incarnation().equals(link.incarnation()))
+                .toList();
+        return foreign.isEmpty()
+                ? Stream.empty()
+                : Stream.of(new RouterAction.Tell(link.node(), new LedgerUpdate(foreign)));
+    }
+
+    private static Transition<RouterState, RouterAction> noticeDrained(RouterState state) {
+        return state.lifecycle().stopping() && state.idle()
+                ? Transition.<RouterState, RouterAction>stay(state).then(new RouterAction.Drained())
+                : Transition.stay(state);
+    }
+
+    private static Transition<RouterState, RouterAction> forEach(
+            RouterState state, Stream<RunningRequest> requests, Step step) {
+        return requests.reduce(
+                Transition.<RouterState, RouterAction>stay(state),
+                (sofar, running) -> sofar.and(next -> step.take(next, running)),
+                (first, second) -> second);
+    }
+
+    /** What is done for one running request. */
+    @FunctionalInterface
+    private interface Step {
+
+        Transition<RouterState, RouterAction> take(RouterState state, RunningRequest running);
+    }
+
+    private Transition<RouterState, RouterAction> beat(RouterState state, Instant now) {
+        Duration since = Duration.between(state.lifecycle().lastHeartbeat(), now);
+        if (since.compareTo(timings.heartbeat()) < 0) {
+            return Transition.stay(state);
+        }
+        Heartbeat heartbeat = heartbeat(state);
+        return Transition.<RouterState, RouterAction>stay(
+                        state.with(state.lifecycle().beaten(now)))
+                .thenAll(state.sidecars().keySet().stream()
+                        .map(node -> new RouterAction.Tell(node, heartbeat))
+                        .toList());
+    }
+
+    private static Heartbeat heartbeat(RouterState state) {
+        return new Heartbeat(
+                state.configuration().document().revision(),
+                state.running().size(),
+                0,
+                state.lifecycle().stopping());
+    }
+}
--- /dev/null
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/GrantMaker.java
@@ -0,0 +1,111 @@
+package org.sassafrastrail.sidecar.core;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.fairness.Candidate;
+import org.sassafrastrail.fairness.FairnessPolicy;
+import org.sassafrastrail.messages.GrantOffer;
+import org.sassafrastrail.model.AccountName;
+import org.sassafrastrail.model.GrantIdentifier;
+import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.model.TrafficShare;
+import org.sassafrastrail.model.UpstreamProfile;
+import org.sassafrastrail.rules.RuleSet;
+
+/** Offers each free place of the upstream to the account whose turn it is. */
+final class GrantMaker {
+
+    private final SidecarIdentity identity;
+    private final FairnessPolicy policy;
+    private final Accounts accounts;
+    private final SidecarTimings timings;
+
+    GrantMaker(SidecarIdentity identity, FairnessPolicy policy, Accounts accounts, SidecarTimings timings) {
+        this.identity = identity;
+        this.policy = policy;
+        this.accounts = accounts;
+        this.timings = timings;
+    }
+
+    /** Offers all free places. */
+    Transition<SidecarState, SidecarAction> offer(SidecarState state, Instant now) {
+        Transition<SidecarState, SidecarAction> none = Transition.stay(state);
+        if (!mayGrant(state)) {
+            return none;
+        }
+        int free = state.upstream().free(state.work().size());
+        return IntStream.range(0, Math.max(0, free))
+                .boxed()
+                .reduce(none, (sofar, place) -> sofar.and(next -> offerOne(next, now)), (first, second) -> second);
+    }
+
+    /** Tells whether this upstream may take new work at all. */
+    boolean mayGrant(SidecarState state) {
+        RuleSet rules = state.rules();
+        UpstreamProfile profile = identity.profile();
+        return !state.lifecycle().leaving()
+                && state.configuration().usable()
+                && rules.inService(profile.failureDomain())
+                && !state.board()
+                        .share(rules, profile.target(), profile.version())
+                        .equals(TrafficShare.NONE);
+    }
+
+    private Transition<SidecarState, SidecarAction> offerOne(SidecarState state, Instant now) {
+        Map<AccountName, RouterBacklog> oldest = oldestBacklogs(state);
+        List<Candidate> candidates = oldest.entrySet().stream()
+                .map(entry -> candidate(state, entry.getKey(), entry.getValue(), now))
+                .toList();
+        Optional<Candidate> choice = policy.select(candidates);
+        return choice.map(candidate -> grant(state, candidate.account(), oldest.get(candidate.account()), now))
+                .orElse(Transition.stay(state));
+    }
+
+    private Candidate candidate(SidecarState state, AccountName account, RouterBacklog backlog, Instant now) {
+        Duration wait = Duration.between(backlog.backlog().since(), now);
+        return new Candidate(account, accounts.total(state, account), wait);
+    }
+
+    private Transition<SidecarState, SidecarAction> grant(
+            SidecarState state, AccountName account, RouterBacklog backlog, Instant now) {
+        GrantIdentifier identifier = new GrantIdentifier(
+                identity.node(), identity.incarnation(), state.work().lastSequence() + 1);
+        long charge = state.estimator().estimate(account, backlog.backlog().hint());
+        OutstandingGrant grant = new OutstandingGrant(backlog.router(), account, charge, now.plus(timings.grant()));
+        RouterDemand less = state.routers().get(backlog.router()).minusOne(account);
+        SidecarState next = accounts.charge(state, account, charge)
+                .with(state.routers().plus(backlog.router(), less))
+                .with(state.work().granted(identifier, grant));
+        return Transition.<SidecarState, SidecarAction>stay(next)
+                .then(new SidecarAction.Tell(
+                        backlog.router(),
+                        new GrantOffer(identifier, account, timings.grant().toMillis())));
+    }
+
+    private static Map<AccountName, RouterBacklog> oldestBacklogs(SidecarState state) {
+        return state.routers().entrySet().stream()
+                .flatMap(router -> router.getValue().accounts().entrySet().stream()
+                        .map(entry -> Map.entry(entry.getKey(), new RouterBacklog(router.getKey(), entry.getValue()))))
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue, RouterBacklog::older));
+    }
+
+    /** What an account has waiting at one router. */
+    private record RouterBacklog(NodeName router, RouterDemand.Backlog backlog) {
+
+        private static final Comparator<RouterBacklog> AGE = Comparator.<RouterBacklog, Instant>comparing(
+                        place -> place.backlog().since())
+                .thenComparing(RouterBacklog::router);
+
+        static RouterBacklog older(RouterBacklog first, RouterBacklog second) {
+            return AGE.compare(first, second) <= 0 ? first : second;
+        }
+    }
+}
--- /dev/null
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/LinkHandler.java
@@ -0,0 +1,194 @@
+package org.sassafrastrail.sidecar.core;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.messages.AttemptQuery;
+import org.sassafrastrail.messages.Demand;
+import org.sassafrastrail.messages.EvidenceUpdate;
+import org.sassafrastrail.messages.GrantReturn;
+import org.sassafrastrail.messages.Heartbeat;
+import org.sassafrastrail.messages.LedgerUpdate;
+import org.sassafrastrail.messages.Message;
+import org.sassafrastrail.messages.MoveUpdate;
+import org.sassafrastrail.messages.RulesAnnouncement;
+import org.sassafrastrail.messages.RulesRequest;
+import org.sassafrastrail.model.AccountName;
+import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.model.Revision;
+import org.sassafrastrail.rollout.MoveBoard;
+import org.sassafrastrail.rules.RuleDocument;
+import org.sassafrastrail.rules.RuleSet;
+import org.sassafrastrail.rules.TargetRule;
+
+/** Handles links to routers and what comes over them. */
+final class LinkHandler {
+
+    private final SidecarIdentity identity;
+    private final DispatchHandler dispatches;
+    private final Accounts accounts;
+    private final SidecarTimings timings;
+
+    LinkHandler(SidecarIdentity identity, DispatchHandler dispatches, Accounts accounts, SidecarTimings timings) {
+        this.identity = identity;
+        this.dispatches = dispatches;
+        this.accounts = accounts;
+        this.timings = timings;
+    }
+
+    /** A router that has just connected first hears all that is known. */
+    Transition<SidecarState, SidecarAction> connected(
+            SidecarState state, SidecarEvent.RouterConnected event, Instant now) {
+        SidecarState next = state.with(state.routers().plus(event.router(), RouterDemand.none(event.link())));
+        Revision revision = state.configuration().document().revision();
+        Message rules = revision.equals(Revision.NONE)
+                ? new RulesRequest(revision)
+                : new RulesAnnouncement(state.configuration().document());
+        return tell(
+                next,
+                event.router(),
+                List.of(
+                        rules,
+                        new MoveUpdate(state.board().steps(), state.board().suspensions()),
+                        new EvidenceUpdate(state.evidence().entries()),
+                        new LedgerUpdate(state.ledger().entries())));
+    }
+
+    Transition<SidecarState, SidecarAction> disconnected(
+            SidecarState state, SidecarEvent.RouterDisconnected event, Instant now) {
+        boolean current = Optional.ofNullable(state.routers().get(event.router()))
+                .filter(demand -> demand.link() == event.link())
+                .isPresent();
+        return Transition.stay(current ? state.with(state.routers().minus(event.router())) : state);
+    }
+
+    Transition<SidecarState, SidecarAction> said(SidecarState state, SidecarEvent.RouterSaid event, Instant now) {
+        Message message = event.message();
+        if (message instanceof Demand demand) {
+            return demanded(state, event.router(), demand, now);
+        }
+        if (message instanceof GrantReturn grant) {
+            return dispatches.returned(state, grant);
+        }
+        if (message instanceof AttemptQuery query) {
+            return dispatches.asked(state, event.router(), query);
+        }
+        if (message instanceof LedgerUpdate update) {
+            return Transition.stay(state.with(state.ledger().merge(update.entries())));
+        }
+        if (message instanceof MoveUpdate update) {
+            return moved(state, update);
+        }
+        if (message instanceof Heartbeat heartbeat) {
+            return heartbeat(state, event.router(), heartbeat);
+        }
+        if (message instanceof RulesRequest) {
+            return announce(state, event.router());
+        }
+        if (message instanceof RulesAnnouncement announcement) {
+            return learned(state, announcement.document());
+        }
+        return Transition.stay(state);
+    }
+
+    private Transition<SidecarState, SidecarAction> demanded(
+            SidecarState state, NodeName router, Demand demand, Instant now) {
+        RouterDemand known = state.routers().get(router);
+        if (known == null) {
+            return Transition.stay(state);
+        }
+        SidecarState next = state.with(state.routers().plus(router, known.plus(demand.accounts(), now)));
+        return Transition.stay(demand.accounts().stream()
+                .filter(change -> change.waiting() > 0)
+                .filter(change -> !isBacklogged(state, change.account()))
+                .filter(change ->
+                        change.oldestWaitMilliseconds() < timings.continuity().toMillis())
+                .reduce(next, (sofar, change) -> lift(sofar, change.account()), (first, second) -> second));
+    }
+
+    /** An account that comes back from idleness starts at the least of the accounts that are backlogged. */
+    private SidecarState lift(SidecarState state, AccountName account) {
+        return state.routers().values().stream()
+                .flatMap(demand -> demand.accounts().keySet().stream())
+                .filter(other -> !other.equals(account))
+                .map(other -> accounts.total(state, other))
+                .min(Long::compare)
+                .map(floor -> accounts.lift(state, account, floor))
+                .orElse(state);
+    }
+
+    private static boolean isBacklogged(SidecarState state, AccountName account) {
+        return state.routers().values().stream()
+                .anyMatch(demand -> demand.accounts().containsKey(account));
+    }
+
+    private static Transition<SidecarState, SidecarAction> moved(SidecarState state, MoveUpdate update) {
+        MoveBoard merged = state.board().merge(update.progress(), update.suspensions());
+        Transition<SidecarState, SidecarAction> stay = Transition.stay(state);
+        MoveUpdate all = new MoveUpdate(merged.steps(), merged.suspensions());
+        return merged == state.board()
+                ? stay
+                : stay.with(state.with(merged))
+                        .thenAll(state.routers().keySet().stream()
+                                .map(router -> new SidecarAction.Tell(router, all))
+                                .toList());
+    }
+
+    private static Transition<SidecarState, SidecarAction> heartbeat(
+            SidecarState state, NodeName router, Heartbeat heartbeat) {
+        Revision known = state.configuration().document().revision();
+        if (heartbeat.revision().isNewerThan(known)) {
+            return tell(state, router, List.of(new RulesRequest(known)));
+        }
+        return known.isNewerThan(heartbeat.revision()) ? announce(state, router) : Transition.stay(state);
+    }
+
+    private static Transition<SidecarState, SidecarAction> announce(SidecarState state, NodeName router) {
+        RuleDocument document = state.configuration().document();
+        return document.revision().equals(Revision.NONE)
+                ? Transition.stay(state)
+                : tell(state, router, List.of(new RulesAnnouncement(document)));
+    }
+
+    /** Takes over a newer rule file; an older one is passed over, so a node never goes back. */
+    private Transition<SidecarState, SidecarAction> learned(SidecarState state, RuleDocument document) {
+        SidecarState.Configuration known = state.configuration();
+        if (!document.revision().isNewerThan(known.document().revision())) {
+            return Transition.stay(state.with(known.confirmed(true)));
+        }
+        RuleSet rules = document.rules();
+        LimitBounds bounds = rules.target(identity.profile().target())
+                .map(LinkHandler::bounds)
+                .orElse(LimitBounds.LEAST);
+        SidecarState next = state.with(new SidecarState.Configuration(document, rules, true))
+                .with(state.upstream().with(state.upstream().limit().within(bounds)));
+        return Transition.<SidecarState, SidecarAction>stay(next)
+                .then(new SidecarAction.Adopted(document))
+                .thenAll(state.routers().keySet().stream()
+                        .map(router -> new SidecarAction.Tell(router, new RulesAnnouncement(document)))
+                        .toList());
+    }
+
+    private static LimitBounds bounds(TargetRule rule) {
+        return new LimitBounds(rule.coldLimit(), rule.warmLimit());
+    }
+
+    /** Asks every router for its rule file, so that a frozen process does not go on with an old one. */
+    static Transition<SidecarState, SidecarAction> confirm(SidecarState state) {
+        RulesRequest request = new RulesRequest(state.configuration().document().revision());
+        return Transition.<SidecarState, SidecarAction>stay(
+                        state.with(state.configuration().confirmed(false)))
+                .thenAll(state.routers().keySet().stream()
+                        .map(router -> new SidecarAction.Tell(router, request))
+                        .toList());
+    }
+
+    static Transition<SidecarState, SidecarAction> tell(SidecarState state, NodeName router, List<Message> messages) {
+        return Transition.<SidecarState, SidecarAction>stay(state)
+                .thenAll(messages.stream()
+                        .map(message -> new SidecarAction.Tell(router, message))
+                        .toList());
+    }
+}
--- /dev/null
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/SidecarCore.java
@@ -0,0 +1,70 @@
+package org.sassafrastrail.sidecar.core;
+
+import java.time.Instant;
+import java.util.List;
+
+import org.sassafrastrail.decision.DecisionCore;
+import org.sassafrastrail.decision.EventRouter;
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.fairness.FairnessPolicy;
+
+/**
+ * The decisions of a sidecar, put together from one handler for each kind of event. Whatever happened, free places are
+ * offered afterwards, so that capacity never idles while work waits.
+ */
+public final class SidecarCore implements DecisionCore<SidecarState, SidecarEvent, SidecarAction> {
+
+    private final DecisionCore<SidecarState, SidecarEvent, SidecarAction> handlers;
+    private final GrantMaker grants;
+
+    /**
+     * Makes the core.
+     *
+     * @param identity who this sidecar is
+     * @param policy picks the account whose turn it is
+     * @param timings the sidecar's waits
+     */
+    public SidecarCore(SidecarIdentity identity, FairnessPolicy policy, SidecarTimings timings) {
+        Accounts accounts = new Accounts(identity);
+        DispatchHandler dispatches = new DispatchHandler(identity, accounts);
+        LinkHandler links = new LinkHandler(identity, dispatches, accounts, timings);
+        TickHandler ticks = new TickHandler(identity, dispatches, timings);
+        this.grants = new GrantMaker(identity, policy, accounts, timings);
+        this.handlers = EventRouter.<SidecarState, SidecarEvent, SidecarAction>over(SidecarEvent.class)
+                .on(SidecarEvent.RouterConnected.class, links::connected)
+                .on(SidecarEvent.RouterDisconnected.class, links::disconnected)
+                .on(SidecarEvent.RouterSaid.class, links::said)
+                .on(SidecarEvent.DispatchArrived.class, dispatches::arrived)
+                .on(SidecarEvent.AnswerProgressed.class, dispatches::progressed)
+                .on(SidecarEvent.AnswerEnded.class, dispatches::ended)
+                .on(SidecarEvent.LoadReported.class, SidecarCore::loadReported)
+                .on(SidecarEvent.LoadUnavailable.class, (state, event, now) -> unreachable(state))
+                .on(SidecarEvent.StopRequested.class, (state, event, now) -> leave(state))
+                .on(SidecarEvent.Tick.class, (state, event, now) -> ticks.tick(state, now))
+                .complete();
+    }
+
+    @Override
+    public Transition<SidecarState, SidecarAction> handle(SidecarState state, SidecarEvent event, Instant now) {
+        return handlers.handle(state, event, now).and(next -> grants.offer(next, now));
+    }
+
+    private static Transition<SidecarState, SidecarAction> loadReported(
+            SidecarState state, SidecarEvent.LoadReported event, Instant now) {
+        int before = state.upstream().limit().current();
+        UpstreamView view =
+                state.upstream().reported(event, state.work().running().size(), now);
+        int after = view.limit().current();
+        Transition<SidecarState, SidecarAction> next = Transition.stay(state.with(view));
+        return after < before ? next.then(new SidecarAction.TurnedCold(after)) : next;
+    }
+
+    private static Transition<SidecarState, SidecarAction> unreachable(SidecarState state) {
+        return Transition.stay(state.with(state.upstream().unreachable()));
+    }
+
+    private static Transition<SidecarState, SidecarAction> leave(SidecarState state) {
+        SidecarState leaving = state.with(state.lifecycle().left());
+        return TickHandler.tellAll(leaving, List.of(TickHandler.heartbeat(leaving)));
+    }
+}
--- /dev/null
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/UpstreamView.java
@@ -0,0 +1,55 @@
+package org.sassafrastrail.sidecar.core;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * What the sidecar knows of its upstream.
+ *
+ * @param limit how many requests it may run at once
+ * @param reachable whether it answered when last asked for its load
+ * @param incarnation its last known life, 0 for unknown
+ * @param foreign how many requests may run there that an earlier life of the sidecar began
+ * @param lastChange when the sidecar last began or ended a request
+ */
+public record UpstreamView(
+        ConcurrencyLimit limit, boolean reachable, long incarnation, int foreign, Instant lastChange) {
+
+    /** Reports lag by less than this. */
+    private static final Duration LONGEST_LAG = Duration.ofSeconds(2);
+
+    static UpstreamView unknown(ConcurrencyLimit limit, Instant now) {
+        return new UpstreamView(limit, false, 0, 0, now);
+    }
+
+    UpstreamView with(ConcurrencyLimit next) {
+        return new UpstreamView(next, reachable, incarnation, foreign, lastChange);
+    }
+
+    UpstreamView changed(Instant now) {
+        return new UpstreamView(limit, reachable, incarnation, foreign, now);
+    }
+
+    UpstreamView unreachable() {
+        return new UpstreamView(limit.cold(), false, incarnation, foreign, lastChange);
+    }
+
+    /**
+     * Takes in a report. It may lower the limit and the number of requests that an earlier life left behind; it never
+     * raises the limit.
+     */
+    UpstreamView reported(SidecarEvent.LoadReported report, int ownRequests, Instant now) {
+        boolean first = incarnation == 0;
+        boolean restarted = !first && report.incarnation() != incarnation;
+        boolean settled = Duration.between(lastChange, now).compareTo(LONGEST_LAG) > 0;
+        int left = Math.max(0, report.running() - ownRequests);
+        int lower = settled ? Math.min(foreign, left) : foreign;
+        ConcurrencyLimit next = restarted || report.cold() ? limit.cold() : limit;
+        return new UpstreamView(next, true, report.incarnation(), first ? left : lower, lastChange);
+    }
+
+    /** How many requests may run beside the present ones. */
+    int free(int ownRequests) {
+        return reachable ? limit.current() - foreign - ownRequests : 0;
+    }
+}
