Carry the cores: runtime, links, HTTP and the platform's interfaces

Cause: the cores need a control thread, links and clients around them. Ruled out: asynchronous streaming by channel listeners; traffic threads that block are far easier to read, and grants bound their number.

--- /dev/null
+++ b/http/src/main/java/org/sassafrastrail/http/HttpServerService.java
@@ -0,0 +1,74 @@
+package org.sassafrastrail.http;
+
+import java.net.InetSocketAddress;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.handlers.GracefulShutdownHandler;
+import org.sassafrastrail.runtime.Service;
+import org.sassafrastrail.runtime.ServiceFailure;
+
+/** An HTTP server on one address. Stopping it waits a little for answers that are under way. */
+public final class HttpServerService implements Service {
+
+    private static final int INPUT_OUTPUT_THREADS = 2;
+    private static final int WORKER_THREADS = 64;
+    private static final int LARGEST_HEADERS_BYTES = 32 * 1024;
+    private static final long LONGEST_DRAIN_MILLISECONDS = 2000;
+
+    private final String host;
+    private final int port;
+    private final GracefulShutdownHandler handler;
+    private final Undertow server;
+
+    /**
+     * Makes the server.
+     *
+     * @param host the address to listen on
+     * @param port the port to listen on
+     * @param handler answers requests
+     */
+    public HttpServerService(String host, int port, HttpHandler handler) {
+        this.host = host;
+        this.port = port;
+        this.handler = new GracefulShutdownHandler(handler);
+        this.server = Undertow.builder()
+                .addHttpListener(port, host)
+                .setIoThreads(INPUT_OUTPUT_THREADS)
+                .setWorkerThreads(WORKER_THREADS)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, LARGEST_HEADERS_BYTES)
+                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                .setHandler(this.handler)
+                .build();
+    }
+
+    @Override
+    public void start() {
+        try {
+            server.start();
+        } catch (RuntimeException taken) {
+            throw new ServiceFailure("HTTP port " + host + ":" + port, taken);
+        }
+    }
+
+    /**
+     * Returns the port, also when the system chose it.
+     *
+     * @return the port that the server listens on
+     */
+    public int port() {
+        return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+    }
+
+    @Override
+    public void stop() {
+        handler.shutdown();
+        try {
+            handler.awaitShutdown(LONGEST_DRAIN_MILLISECONDS);
+        } catch (InterruptedException impatient) {
+            Thread.currentThread().interrupt();
+        }
+        server.stop();
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/sassafrastrail/http/UndertowCaller.java
@@ -0,0 +1,190 @@
+package org.sassafrastrail.http;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Deque;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import org.sassafrastrail.runtime.Service;
+import org.sassafrastrail.runtime.ServiceFailure;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import org.xnio.channels.Channels;
+import org.xnio.channels.StreamSinkChannel;
+
+/** Calls servers by Undertow's client and keeps idle connections for later calls. */
+public final class UndertowCaller implements HttpCaller, Service {
+
+    private static final Duration CONNECT_PATIENCE = Duration.ofSeconds(2);
+    private static final int BUFFER_BYTES = 16 * 1024;
+
+    private final int threads;
+    private final Map<String, Deque<ClientConnection>> idle = new ConcurrentHashMap<>();
+    private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+    private volatile XnioWorker worker;
+
+    /**
+     * Makes the caller.
+     *
+     * @param threads how many threads serve its connections
+     */
+    public UndertowCaller(int threads) {
+        this.threads = threads;
+    }
+
+    @Override
+    public void start() {
+        try {
+            worker = Xnio.getInstance()
+                    .createWorker(OptionMap.builder()
+                            .set(Options.WORKER_IO_THREADS, threads)
+                            .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                            .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                            .set(Options.TCP_NODELAY, true)
+                            .set(Options.THREAD_DAEMON, true)
+                            .getMap());
+        } catch (IOException failure) {
+            throw new ServiceFailure("HTTP client", failure);
+        }
+    }
+
+    @Override
+    public void stop() {
+        idle.values().forEach(connections -> connections.forEach(IoUtils::safeClose));
+        if (worker != null) {
+            worker.shutdownNow();
+        }
+    }
+
+    @Override
+    public HttpResult call(HttpCall call) {
+        Optional<ClientConnection> kept = call.reuse() ? takeIdle(call) : Optional.empty();
+        Optional<ClientConnection> connection = kept.or(() -> connect(call));
+        return connection.map(present -> exchange(call, present)).orElseGet(HttpResult.NotSent::new);
+    }
+
+    private Optional<ClientConnection> takeIdle(HttpCall call) {
+        Deque<ClientConnection> connections = idle.get(place(call));
+        return connections == null
+                ? Optional.empty()
+                : Optional.ofNullable(connections.pollFirst()).filter(ClientConnection::isOpen);
+    }
+
+    private Optional<ClientConnection> connect(HttpCall call) {
+        URI address = URI.create("http://" + place(call));
+        IoFuture<ClientConnection> future =
+                UndertowClient.getInstance().connect(address, worker, buffers, OptionMap.EMPTY);
+        if (future.await(CONNECT_PATIENCE.toMillis(), TimeUnit.MILLISECONDS) != IoFuture.Status.DONE) {
+            future.cancel();
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(future.get());
+        } catch (IOException refused) {
+            return Optional.empty();
+        }
+    }
+
+    private HttpResult exchange(HttpCall call, ClientConnection connection) {
+        PendingExchange pending = new PendingExchange();
+        connection.getIoThread().execute(() -> connection.sendRequest(request(call), pending));
+        try {
+            long patience = call.patience().toMillis();
+            ClientExchange sent = pending.sent().get(patience, TimeUnit.MILLISECONDS);
+            write(sent, call.body());
+            ClientExchange answered = pending.answered().get(patience, TimeUnit.MILLISECONDS);
+            return new HttpResult.Answered(new UndertowAnswer(answered, call.patience(), () -> keep(call, connection)));
+        } catch (IOException | ExecutionException | TimeoutException lost) {
+            IoUtils.safeClose(connection);
+            return new HttpResult.Lost();
+        } catch (InterruptedException stopped) {
+            IoUtils.safeClose(connection);
+            Thread.currentThread().interrupt();
+            return new HttpResult.Lost();
+        }
+    }
+
+    private static ClientRequest request(HttpCall call) {
+        ClientRequest request =
+                new ClientRequest().setMethod(Methods.fromString(call.method())).setPath(call.path());
+        request.getRequestHeaders().put(Headers.HOST, place(call));
+        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
+        call.headers().forEach((name, value) -> request.getRequestHeaders().put(new HttpString(name), value));
+        return request;
+    }
+
+    private static void write(ClientExchange exchange, byte[] body) throws IOException {
+        StreamSinkChannel channel = exchange.getRequestChannel();
+        Channels.writeBlocking(channel, ByteBuffer.wrap(body));
+        channel.shutdownWrites();
+        Channels.flushBlocking(channel);
+    }
+
+    private void keep(HttpCall call, ClientConnection connection) {
+        if (connection.isOpen()) {
+            idle.computeIfAbsent(place(call), place -> new ConcurrentLinkedDeque<>())
+                    .addFirst(connection);
+        }
+    }
+
+    private static String place(HttpCall call) {
+        return call.host() + ":" + call.port();
+    }
+
+    /** Waits for the two steps of an exchange. */
+    private static final class PendingExchange implements io.undertow.client.ClientCallback<ClientExchange> {
+
+        private final CompletableFuture<ClientExchange> sent = new CompletableFuture<>();
+        private final CompletableFuture<ClientExchange> answered = new CompletableFuture<>();
+
+        CompletableFuture<ClientExchange> sent() {
+            return sent;
+        }
+
+        CompletableFuture<ClientExchange> answered() {
+            return answered;
+        }
+
+        @Override
+        public void completed(ClientExchange exchange) {
+            exchange.setResponseListener(new io.undertow.client.ClientCallback<>() {
+                @Override
+                public void completed(ClientExchange result) {
+                    answered.complete(result);
+                }
+
+                @Override
+                public void failed(IOException failure) {
+                    answered.completeExceptionally(failure);
+                }
+            });
+            sent.complete(exchange);
+        }
+
+        @Override
+        public void failed(IOException failure) {
+            sent.completeExceptionally(failure);
+        }
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/sassafrastrail/runtime/LogLine.java
@@ -0,0 +1,40 @@
+package org.sassafrastrail.runtime;
+
+import java.util.Arrays;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** Writes events as key=value pairs on one line. Values are quoted where needed and can't break the line. */
+final class LogLine {
+
+    private static final Pattern PLAIN = Pattern.compile("[A-Za-z0-9._:/@+-]+");
+    private static final int FIRST_PRINTABLE = ' ';
+
+    private LogLine() {}
+
+    static String of(String event, LogField... fields) {
+        return Stream.concat(Stream.of(LogField.of("event", event)), Arrays.stream(fields))
+                .map(field -> field.key() + "=" + quote(String.valueOf(field.value())))
+                .collect(Collectors.joining(" "));
+    }
+
+    private static String quote(String value) {
+        return PLAIN.matcher(value).matches()
+                ? value
+                : value.chars().mapToObj(LogLine::escape).collect(Collectors.joining("", "\"", "\""));
+    }
+
+    private static String escape(int character) {
+        return switch (character) {
+            case '"' -> "\\\"";
+            case '\\' -> "\\\\";
+            case '\n' -> "\\n";
+            case '\r' -> "\\r";
+            case '\t' -> "\\t";
+            default -> character < FIRST_PRINTABLE || Character.getType(character) == Character.CONTROL
+                    ? String.format("\\u%04x", character)
+                    : Character.toString(character);
+        };
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/sassafrastrail/runtime/Logging.java
@@ -0,0 +1,43 @@
+package org.sassafrastrail.runtime;
+
+import java.util.Arrays;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/** Sets up the log manager: one line an event on standard error, at the level that the settings give. */
+public final class Logging {
+
+    private static final Logger ROOT = Logger.getLogger("");
+    private static final Logger PROJECT = Logger.getLogger("org.sassafrastrail");
+
+    private Logging() {}
+
+    /**
+     * Sets up the log.
+     *
+     * @param level the level of the project's own events, such as {@code INFO}
+     */
+    public static void setUp(String level) {
+        Arrays.stream(ROOT.getHandlers()).forEach(ROOT::removeHandler);
+        Handler handler = new ConsoleHandler();
+        handler.setFormatter(new LineFormatter());
+        handler.setLevel(Level.ALL);
+        ROOT.addHandler(handler);
+        ROOT.setLevel(Level.WARNING);
+        PROJECT.setLevel(Level.parse(level));
+    }
+
+    /** Puts time and level before the event. */
+    private static final class LineFormatter extends Formatter {
+
+        @Override
+        public String format(LogRecord line) {
+            String text = "time=" + line.getInstant() + " level=" + line.getLevel() + " " + formatMessage(line) + "\n";
+            return line.getThrown() == null ? text : text + "cause=\"" + line.getThrown() + "\"\n";
+        }
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/sassafrastrail/runtime/SettingsReader.java
@@ -0,0 +1,69 @@
+package org.sassafrastrail.runtime;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.networknt.schema.Error;
+import com.networknt.schema.InputFormat;
+import com.networknt.schema.Schema;
+import com.networknt.schema.SchemaRegistry;
+import com.networknt.schema.SpecificationVersion;
+
+/**
+ * Reads settings files and checks them against the schema that lies beside the settings class.
+ *
+ * @param <T> the type of the settings, a record
+ */
+public final class SettingsReader<T> {
+
+    private final Class<T> type;
+    private final ObjectMapper mapper = new ObjectMapper();
+
+    /**
+     * Makes the reader of one type of settings. Its schema is the resource with the class's name and {@code
+     * .schema.json}.
+     *
+     * @param type the type
+     */
+    public SettingsReader(Class<T> type) {
+        this.type = type;
+    }
+
+    /**
+     * Reads a settings file.
+     *
+     * @param file the file
+     * @return the settings, or every error
+     */
+    public SettingsReading<T> read(Path file) {
+        try {
+            return read(mapper.readTree(Files.readAllBytes(file)));
+        } catch (IOException unreadable) {
+            return new SettingsReading.Rejected<>(List.of(new SettingsError("", "not readable as JSON")));
+        }
+    }
+
+    private SettingsReading<T> read(JsonNode tree) throws IOException {
+        List<SettingsError> errors =
+                schema().validate(tree).stream().map(SettingsReader::error).toList();
+        return errors.isEmpty()
+                ? new SettingsReading.Accepted<>(mapper.treeToValue(tree, type))
+                : new SettingsReading.Rejected<>(errors);
+    }
+
+    private Schema schema() throws IOException {
+        try (InputStream resource = type.getResourceAsStream(type.getSimpleName() + ".schema.json")) {
+            return SchemaRegistry.withDefaultDialect(SpecificationVersion.DRAFT_2020_12)
+                    .getSchema(resource, InputFormat.JSON);
+        }
+    }
+
+    private static SettingsError error(Error error) {
+        return new SettingsError(error.getInstanceLocation().toString(), error.getMessage());
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/sassafrastrail/runtime/TrafficThreads.java
@@ -0,0 +1,37 @@
+package org.sassafrastrail.runtime;
+
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** The threads that carry traffic. Their number follows the work, which the grants and the queues bound. */
+public final class TrafficThreads implements Service {
+
+    private final AtomicLong numbers = new AtomicLong();
+    private final ExecutorService threads = Executors.newCachedThreadPool(this::thread);
+
+    private Thread thread(Runnable runnable) {
+        Thread thread = new Thread(runnable, "traffic-" + numbers.incrementAndGet());
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    @Override
+    public void start() {
+        // Threads start with the first work.
+    }
+
+    /**
+     * Runs a piece of traffic work.
+     *
+     * @param work the work
+     */
+    public void run(Runnable work) {
+        threads.execute(work);
+    }
+
+    @Override
+    public void stop() {
+        threads.shutdownNow();
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/sassafrastrail/wire/Decoding.java
@@ -0,0 +1,21 @@
+package org.sassafrastrail.wire;
+
+import org.sassafrastrail.messages.Message;
+
+/** What came of decoding a frame. */
+public sealed interface Decoding {
+
+    /**
+     * The frame holds a message.
+     *
+     * @param message the message
+     */
+    record Decoded(Message message) implements Decoding {}
+
+    /**
+     * The frame holds no message that this process knows.
+     *
+     * @param reason why
+     */
+    record Rejected(LinkClosure reason) implements Decoding {}
+}
--- /dev/null
+++ b/wire/src/main/java/org/sassafrastrail/wire/Frames.java
@@ -0,0 +1,52 @@
+package org.sassafrastrail.wire;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+
+/** Reads and writes frames: four bytes of length, then the content. */
+final class Frames {
+
+    /** The largest content, in bytes. */
+    static final int LARGEST = 4 * 1024 * 1024;
+
+    /** What the length takes, in bytes. */
+    static final int HEADER = 4;
+
+    private Frames() {}
+
+    static void write(DataOutputStream output, byte[] content) throws IOException {
+        output.writeInt(content.length);
+        output.write(content);
+    }
+
+    /** Reads the content of the next frame. */
+    static byte[] read(DataInputStream input) throws IOException, LinkFailure {
+        int length = length(input);
+        if (length < 0 || length > LARGEST) {
+            throw new LinkFailure(LinkClosure.FRAME_TOO_LARGE);
+        }
+        byte[] content = new byte[length];
+        try {
+            input.readFully(content);
+        } catch (EOFException cut) {
+            throw new LinkFailure(LinkClosure.FRAME_CUT);
+        }
+        return content;
+    }
+
+    private static int length(DataInputStream input) throws IOException, LinkFailure {
+        int first = input.read();
+        if (first < 0) {
+            throw new LinkFailure(LinkClosure.CLOSED_THERE);
+        }
+        byte[] rest = new byte[HEADER - 1];
+        try {
+            input.readFully(rest);
+        } catch (EOFException cut) {
+            throw new LinkFailure(LinkClosure.FRAME_CUT);
+        }
+        return java.nio.ByteBuffer.allocate(HEADER).put((byte) first).put(rest).getInt(0);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/sassafrastrail/wire/LinkDialer.java
@@ -0,0 +1,78 @@
+package org.sassafrastrail.wire;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.sassafrastrail.runtime.LogField;
+import org.sassafrastrail.runtime.Service;
+
+/** Keeps a link to one address: makes it again, after a wait, whenever it ends. */
+public final class LinkDialer implements Service {
+
+    private final String host;
+    private final int port;
+    private final Duration wait;
+    private final LinkSettings settings;
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private volatile SocketLink link;
+    private volatile Thread thread;
+
+    /**
+     * Makes the dialer.
+     *
+     * @param host the address
+     * @param port the port
+     * @param wait the wait before the next try
+     * @param settings what all links share
+     */
+    public LinkDialer(String host, int port, Duration wait, LinkSettings settings) {
+        this.host = host;
+        this.port = port;
+        this.wait = wait;
+        this.settings = settings;
+    }
+
+    @Override
+    public void start() {
+        thread = new Thread(this::run, "link-" + host + ":" + port);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void run() {
+        try {
+            do {
+                dial();
+            } while (!stopped.await(wait.toMillis(), TimeUnit.MILLISECONDS));
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void dial() {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(host, port), (int)
+                    settings.connectTimeout().toMillis());
+            link = new SocketLink(socket, settings);
+            link.run();
+        } catch (IOException unreachable) {
+            settings.metrics().count("link-closures", LinkClosure.NOT_CONNECTED);
+            settings.log().debug("link-not-connected", LogField.of("host", host), LogField.of("port", port));
+        }
+    }
+
+    @Override
+    public void stop() {
+        stopped.countDown();
+        if (link != null) {
+            link.close();
+        }
+        if (thread != null) {
+            thread.interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
@@ -0,0 +1,61 @@
+package org.sassafrastrail.wire;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+import org.sassafrastrail.messages.AttemptQuery;
+import org.sassafrastrail.messages.AttemptReport;
+import org.sassafrastrail.messages.Demand;
+import org.sassafrastrail.messages.EvidenceUpdate;
+import org.sassafrastrail.messages.GrantOffer;
+import org.sassafrastrail.messages.GrantReturn;
+import org.sassafrastrail.messages.Heartbeat;
+import org.sassafrastrail.messages.Hello;
+import org.sassafrastrail.messages.LedgerUpdate;
+import org.sassafrastrail.messages.Message;
+import org.sassafrastrail.messages.MoveUpdate;
+import org.sassafrastrail.messages.RulesAnnouncement;
+import org.sassafrastrail.messages.RulesRequest;
+
+/** The number of each kind of message in a frame. Numbers are never given to another kind. */
+enum MessageKind {
+    HELLO(1, Hello.class),
+    DEMAND(2, Demand.class),
+    GRANT_OFFER(3, GrantOffer.class),
+    GRANT_RETURN(4, GrantReturn.class),
+    ATTEMPT_QUERY(5, AttemptQuery.class),
+    ATTEMPT_REPORT(6, AttemptReport.class),
+    LEDGER_UPDATE(7, LedgerUpdate.class),
+    EVIDENCE_UPDATE(8, EvidenceUpdate.class),
+    MOVE_UPDATE(9, MoveUpdate.class),
+    HEARTBEAT(10, Heartbeat.class),
+    RULES_REQUEST(11, RulesRequest.class),
+    RULES_ANNOUNCEMENT(12, RulesAnnouncement.class);
+
+    private final byte number;
+    private final Class<? extends Message> type;
+
+    MessageKind(int number, Class<? extends Message> type) {
+        this.number = (byte) number;
+        this.type = type;
+    }
+
+    byte number() {
+        return number;
+    }
+
+    Class<? extends Message> type() {
+        return type;
+    }
+
+    static MessageKind of(Message message) {
+        return Arrays.stream(values())
+                .filter(kind -> kind.type == message.getClass())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    static Optional<MessageKind> of(byte number) {
+        return Arrays.stream(values()).filter(kind -> kind.number == number).findFirst();
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
@@ -0,0 +1,133 @@
+package org.sassafrastrail.wire;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonValue;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import com.fasterxml.jackson.datatype.jsr310.JavaTimeModule;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.sassafrastrail.fairness.LedgerEntry;
+import org.sassafrastrail.fairness.LedgerKey;
+import org.sassafrastrail.fairness.LedgerWriter;
+import org.sassafrastrail.messages.AccountDemand;
+import org.sassafrastrail.messages.EvidenceEntry;
+import org.sassafrastrail.messages.Message;
+import org.sassafrastrail.messages.MoveProgress;
+import org.sassafrastrail.messages.Suspension;
+import org.sassafrastrail.messages.UpstreamEndpoint;
+import org.sassafrastrail.model.AccountName;
+import org.sassafrastrail.model.AttemptIdentifier;
+import org.sassafrastrail.model.FailureDomainName;
+import org.sassafrastrail.model.GrantIdentifier;
+import org.sassafrastrail.model.Incarnation;
+import org.sassafrastrail.model.MoveIdentifier;
+import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.model.RequestIdentifier;
+import org.sassafrastrail.model.Revision;
+import org.sassafrastrail.model.TargetName;
+import org.sassafrastrail.model.TrafficShare;
+import org.sassafrastrail.model.UpstreamProfile;
+import org.sassafrastrail.model.VersionName;
+import org.sassafrastrail.rules.RuleDocument;
+
+/** Encodes messages as the number of their kind and their fields in MessagePack, without the fields' names. */
+public final class MessagePackCodec implements MessageCodec {
+
+    private static final List<Class<?>> NAMES = List.of(
+            AccountName.class,
+            FailureDomainName.class,
+            NodeName.class,
+            RequestIdentifier.class,
+            TargetName.class,
+            VersionName.class);
+    private static final List<Class<?>> NUMBERS = List.of(Incarnation.class, Revision.class);
+    private static final List<Class<?>> PARTS = List.of(
+            AccountDemand.class,
+            AttemptIdentifier.class,
+            EvidenceEntry.class,
+            GrantIdentifier.class,
+            LedgerEntry.class,
+            LedgerKey.class,
+            LedgerWriter.class,
+            MoveIdentifier.class,
+            MoveProgress.class,
+            RuleDocument.class,
+            Suspension.class,
+            TrafficShare.class,
+            UpstreamEndpoint.class,
+            UpstreamProfile.class);
+
+    private final ObjectMapper mapper = mapper();
+
+    private static ObjectMapper mapper() {
+        ObjectMapper mapper = new ObjectMapper(new MessagePackFactory())
+                .registerModule(new Jdk8Module())
+                .registerModule(new JavaTimeModule())
+                .configure(SerializationFeature.WRITE_DATES_AS_TIMESTAMPS, false);
+        NAMES.forEach(type -> mapper.addMixIn(type, BareName.class));
+        NUMBERS.forEach(type -> mapper.addMixIn(type, BareNumber.class));
+        PARTS.forEach(type -> withoutFieldNames(mapper, type));
+        List.of(MessageKind.values()).forEach(kind -> withoutFieldNames(mapper, kind.type()));
+        return mapper;
+    }
+
+    private static void withoutFieldNames(ObjectMapper mapper, Class<?> type) {
+        mapper.configOverride(type).setFormat(JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY));
+    }
+
+    @Override
+    public byte[] encode(Message message) {
+        try {
+            byte[] fields = mapper.writeValueAsBytes(message);
+            return ByteBuffer.allocate(1 + fields.length)
+                    .put(MessageKind.of(message).number())
+                    .put(fields)
+                    .array();
+        } catch (JsonProcessingException impossible) {
+            throw new IllegalStateException("every message has an encoding", impossible);
+        }
+    }
+
+    @Override
+    public Decoding decode(byte[] content) {
+        Optional<MessageKind> kind = content.length == 0 ? Optional.empty() : MessageKind.of(content[0]);
+        if (kind.isEmpty()) {
+            return new Decoding.Rejected(LinkClosure.UNKNOWN_KIND);
+        }
+        try {
+            Message message =
+                    mapper.readValue(content, 1, content.length - 1, kind.get().type());
+            return message == null ? new Decoding.Rejected(LinkClosure.MALFORMED) : new Decoding.Decoded(message);
+        } catch (IOException | RuntimeException malformed) {
+            return new Decoding.Rejected(LinkClosure.MALFORMED);
+        }
+    }
+
+    /** Writes a name as its bare text. */
+    private abstract static class BareName {
+
+        @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+        BareName(String value) {}
+
+        @JsonValue
+        abstract String value();
+    }
+
+    /** Writes a number as it is. */
+    private abstract static class BareNumber {
+
+        @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+        BareNumber(long value) {}
+
+        @JsonValue
+        abstract long value();
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/sassafrastrail/wire/SocketLink.java
@@ -0,0 +1,159 @@
+package org.sassafrastrail.wire;
+
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.sassafrastrail.messages.Hello;
+import org.sassafrastrail.messages.Message;
+import org.sassafrastrail.runtime.LogField;
+
+/** A link over a socket, with one thread that reads and one that writes. */
+final class SocketLink implements Link {
+
+    private static final AtomicLong NUMBERS = new AtomicLong();
+    private static final int QUEUE_LIMIT = 20_000;
+
+    private final Socket socket;
+    private final LinkSettings settings;
+    private final long number = NUMBERS.incrementAndGet();
+    private final BlockingQueue<Message> outgoing = new LinkedBlockingQueue<>(QUEUE_LIMIT);
+    private final AtomicReference<LinkClosure> closure = new AtomicReference<>();
+    private volatile Hello peer;
+
+    SocketLink(Socket socket, LinkSettings settings) {
+        this.socket = socket;
+        this.settings = settings;
+    }
+
+    @Override
+    public Hello peer() {
+        return peer;
+    }
+
+    @Override
+    public long number() {
+        return number;
+    }
+
+    @Override
+    public void send(Message message) {
+        if (!outgoing.offer(message)) {
+            close(LinkClosure.QUEUE_FULL);
+        }
+    }
+
+    @Override
+    public void close() {
+        close(LinkClosure.CLOSED_HERE);
+    }
+
+    /** Greets and then reads until the link ends, on the calling thread. */
+    void run() {
+        Thread writer = new Thread(this::write, Thread.currentThread().getName() + "-writer");
+        writer.setDaemon(true);
+        boolean opened = false;
+        try {
+            socket.setTcpNoDelay(true);
+            socket.setSoTimeout((int) settings.connectTimeout().toMillis());
+            DataInputStream input = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
+            outgoing.add(settings.greeting().get());
+            writer.start();
+            peer = greeting(input);
+            socket.setSoTimeout(0);
+            opened = true;
+            settings.listener().opened(this);
+            read(input);
+        } catch (LinkFailure failure) {
+            close(failure.reason());
+        } catch (IOException broken) {
+            close(LinkClosure.CLOSED_THERE);
+        } finally {
+            writer.interrupt();
+            report(opened);
+        }
+    }
+
+    private Hello greeting(DataInputStream input) throws IOException, LinkFailure {
+        Message first = next(input);
+        if (!(first instanceof Hello hello)) {
+            throw new LinkFailure(LinkClosure.NO_GREETING);
+        }
+        if (hello.protocol() > Hello.PROTOCOL) {
+            throw new LinkFailure(LinkClosure.NEWER_PROTOCOL);
+        }
+        if (!sameKey(hello.key(), settings.greeting().get().key())) {
+            throw new LinkFailure(LinkClosure.WRONG_KEY);
+        }
+        return hello;
+    }
+
+    private static boolean sameKey(String theirs, String ours) {
+        return MessageDigest.isEqual(
+                String.valueOf(theirs).getBytes(StandardCharsets.UTF_8), ours.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void read(DataInputStream input) throws IOException, LinkFailure {
+        while (closure.get() == null) {
+            settings.listener().received(this, next(input));
+        }
+    }
+
+    private Message next(DataInputStream input) throws IOException, LinkFailure {
+        byte[] content = Frames.read(input);
+        settings.metrics().count("control-bytes-received", Frames.HEADER + content.length);
+        Decoding decoding = settings.codec().decode(content);
+        if (decoding instanceof Decoding.Decoded decoded) {
+            return decoded.message();
+        }
+        throw new LinkFailure(((Decoding.Rejected) decoding).reason());
+    }
+
+    private void write() {
+        try {
+            DataOutputStream output = new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()));
+            while (closure.get() == null) {
+                write(output, outgoing.take());
+            }
+        } catch (IOException broken) {
+            close(LinkClosure.CLOSED_THERE);
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void write(DataOutputStream output, Message message) throws IOException {
+        byte[] content = settings.codec().encode(message);
+        Frames.write(output, content);
+        settings.metrics().count("control-bytes-sent", Frames.HEADER + content.length);
+        if (outgoing.isEmpty()) {
+            output.flush();
+        }
+    }
+
+    private void close(LinkClosure reason) {
+        closure.compareAndSet(null, reason);
+        try {
+            socket.close();
+        } catch (IOException alreadyBroken) {
+            settings.log().debug("socket-close-failed", LogField.of("link", number));
+        }
+    }
+
+    private void report(boolean opened) {
+        LinkClosure reason = closure.get();
+        settings.metrics().count("link-closures", reason);
+        if (opened) {
+            settings.listener().closed(this, reason);
+        }
+    }
+}
