Add the router daemon around its core

Cause: callers speak HTTP and sidecars speak frames; the daemon only translates. One control thread holds the state; traffic threads carry bodies.

--- /dev/null
+++ b/router/src/main/java/org/sassafrastrail/router/OperatorFrontEnd.java
@@ -0,0 +1,99 @@
+package org.sassafrastrail.router;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
+import org.sassafrastrail.http.Problem;
+import org.sassafrastrail.messages.DispatchHeaders;
+import org.sassafrastrail.model.Identifiers;
+import org.sassafrastrail.model.RequestIdentifier;
+import org.sassafrastrail.router.core.RouterState;
+import org.sassafrastrail.runtime.Metrics;
+
+/** Answers the platform's balancer ({@code /health}, {@code /ready}) and operators ({@code /operator/...}). */
+final class OperatorFrontEnd implements HttpHandler {
+
+    private static final String EXPLAIN = "/operator/explain/";
+
+    private final Supplier<RouterState> state;
+    private final Metrics metrics;
+    private final Explanations explanations;
+    private final RouterSettings settings;
+    private final ObjectMapper mapper = new ObjectMapper();
+
+    OperatorFrontEnd(Supplier<RouterState> state, Metrics metrics, Explanations explanations, RouterSettings settings) {
+        this.state = state;
+        this.metrics = metrics;
+        this.explanations = explanations;
+        this.settings = settings;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        String path = exchange.getRequestPath();
+        if (path.equals("/health")) {
+            send(exchange, "{\"healthy\":true}\n");
+        } else if (path.equals("/ready")) {
+            ready(exchange);
+        } else if (!hasKey(exchange)) {
+            new Problem(StatusCodes.FORBIDDEN, "wrong-key", "The shared key is missing or wrong.", "").send(exchange);
+        } else {
+            operator(exchange, path);
+        }
+    }
+
+    private void operator(HttpServerExchange exchange, String path) {
+        if (path.equals("/operator/metrics")) {
+            send(exchange, metrics.json());
+        } else if (path.equals("/operator/status")) {
+            send(exchange, json(RouterStatus.of(settings.node(), state.get())));
+        } else if (path.startsWith(EXPLAIN)) {
+            explain(exchange, path.substring(EXPLAIN.length()));
+        } else {
+            new Problem(StatusCodes.NOT_FOUND, "no-such-page", "There is no such page.", "").send(exchange);
+        }
+    }
+
+    private void ready(HttpServerExchange exchange) {
+        RouterState known = state.get();
+        boolean ready = known.configuration().present() && !known.lifecycle().stopping();
+        exchange.setStatusCode(ready ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
+        send(exchange, "{\"ready\":" + ready + "}\n");
+    }
+
+    private void explain(HttpServerExchange exchange, String text) {
+        Optional<List<String>> steps =
+                Identifiers.isName(text) ? explanations.find(new RequestIdentifier(text)) : Optional.empty();
+        exchange.setStatusCode(steps.isPresent() ? StatusCodes.OK : StatusCodes.NOT_FOUND);
+        send(exchange, json(steps.orElse(List.of())));
+    }
+
+    private boolean hasKey(HttpServerExchange exchange) {
+        String given = Optional.ofNullable(exchange.getRequestHeaders().getFirst(DispatchHeaders.LINK_KEY))
+                .orElse("");
+        return MessageDigest.isEqual(
+                given.getBytes(StandardCharsets.UTF_8), settings.linkKey().getBytes(StandardCharsets.UTF_8));
+    }
+
+    private String json(Object value) {
+        try {
+            return mapper.writeValueAsString(value) + "\n";
+        } catch (JsonProcessingException impossible) {
+            throw new IllegalStateException("a status is always JSON", impossible);
+        }
+    }
+
+    private static void send(HttpServerExchange exchange, String json) {
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        exchange.getResponseSender().send(json);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/sassafrastrail/router/PendingCalls.java
@@ -0,0 +1,25 @@
+package org.sassafrastrail.router;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.sassafrastrail.model.RequestIdentifier;
+
+/** The callers that wait for their answers. */
+final class PendingCalls {
+
+    private final Map<RequestIdentifier, PendingCall> calls = new ConcurrentHashMap<>();
+
+    void add(PendingCall call) {
+        calls.put(call.request(), call);
+    }
+
+    Optional<PendingCall> find(RequestIdentifier request) {
+        return Optional.ofNullable(calls.get(request));
+    }
+
+    Optional<PendingCall> remove(RequestIdentifier request) {
+        return Optional.ofNullable(calls.remove(request));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/sassafrastrail/router/PlatformWork.java
@@ -0,0 +1,137 @@
+package org.sassafrastrail.router;
+
+import java.time.Clock;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import org.sassafrastrail.model.Revision;
+import org.sassafrastrail.platform.ConfigurationStore;
+import org.sassafrastrail.platform.ControllerLeases;
+import org.sassafrastrail.platform.IdempotencyKeys;
+import org.sassafrastrail.platform.MoveRecords;
+import org.sassafrastrail.rollout.ControllerLease;
+import org.sassafrastrail.rollout.RolloutAction;
+import org.sassafrastrail.rollout.RolloutEvent;
+import org.sassafrastrail.router.core.NodeEvent;
+import org.sassafrastrail.router.core.RouterAction;
+import org.sassafrastrail.router.core.RouterEvent;
+import org.sassafrastrail.rules.RuleDocument;
+import org.sassafrastrail.runtime.Service;
+
+/** Calls the platform on threads of its own, so that a slow platform holds up neither control nor traffic. */
+final class PlatformWork implements Service {
+
+    private static final int KEY_THREADS = 4;
+
+    private final ConfigurationStore configurations;
+    private final IdempotencyKeys keys;
+    private final ControllerLeases leases;
+    private final MoveRecords moves;
+    private final Clock clock;
+    private final Supplier<Revision> known;
+    private final Consumer<NodeEvent> control;
+    private final ScheduledExecutorService keyThreads =
+            Executors.newScheduledThreadPool(KEY_THREADS, PlatformWork::daemon);
+    private final ScheduledExecutorService ruleThread =
+            Executors.newSingleThreadScheduledExecutor(PlatformWork::daemon);
+    private final ScheduledExecutorService moveThread =
+            Executors.newSingleThreadScheduledExecutor(PlatformWork::daemon);
+
+    PlatformWork(
+            ConfigurationStore configurations,
+            IdempotencyKeys keys,
+            ControllerLeases leases,
+            MoveRecords moves,
+            Clock clock,
+            Supplier<Revision> known,
+            Consumer<NodeEvent> control) {
+        this.configurations = configurations;
+        this.keys = keys;
+        this.leases = leases;
+        this.moves = moves;
+        this.clock = clock;
+        this.known = known;
+        this.control = control;
+    }
+
+    private static Thread daemon(Runnable work) {
+        Thread thread = new Thread(work, "platform");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    @Override
+    public void start() {
+        // Threads start with the first work.
+    }
+
+    @Override
+    public void stop() {
+        keyThreads.shutdownNow();
+        ruleThread.shutdownNow();
+        moveThread.shutdownNow();
+    }
+
+    void readRules() {
+        ruleThread.execute(this::readRulesNow);
+    }
+
+    /** Asks for the rule file in force, on the calling thread. */
+    void readRulesNow() {
+        Optional<RuleDocument> read = configurations.current(known.get());
+        tell(read.<RouterEvent>map(RouterEvent.RulesRead::new).orElseGet(RouterEvent.PlatformSilent::new));
+    }
+
+    void claim(RouterAction.ClaimKey action) {
+        keyThreads.schedule(() -> claimNow(action), action.after().toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void claimNow(RouterAction.ClaimKey action) {
+        IdempotencyKeys.Claim claim = keys.claim(
+                action.request().account(), action.key(), action.request().identifier());
+        RouterEvent.KeyAnswer answer =
+                switch (claim) {
+                    case OWNED -> RouterEvent.KeyAnswer.OWNED;
+                    case HELD_BY_OTHER -> RouterEvent.KeyAnswer.HELD_BY_OTHER;
+                    case UNAVAILABLE -> RouterEvent.KeyAnswer.UNAVAILABLE;
+                };
+        tell(new RouterEvent.KeyAnswered(action.request().identifier(), answer));
+    }
+
+    void release(RouterAction.ReleaseKey action) {
+        keyThreads.execute(() -> keys.release(
+                action.request().account(), action.key(), action.request().identifier()));
+    }
+
+    void carryOut(RolloutAction action) {
+        if (action instanceof RolloutAction.SeekLease) {
+            moveThread.execute(this::seekLease);
+        }
+        if (action instanceof RolloutAction.ReadStep read) {
+            moveThread.execute(() -> moves.read(read.move()).ifPresent(this::recorded));
+        }
+        if (action instanceof RolloutAction.RecordStep step) {
+            moveThread.execute(
+                    () -> moves.record(step.step(), step.rowVersion()).ifPresent(this::recorded));
+        }
+    }
+
+    private void seekLease() {
+        Optional<ControllerLease> lease =
+                leases.seek(clock.instant()).map(holding -> new ControllerLease(holding.fence(), holding.until()));
+        control.accept(new NodeEvent.OfRollout(new RolloutEvent.LeaseAnswered(lease)));
+    }
+
+    private void recorded(MoveRecords.Recorded recorded) {
+        control.accept(
+                new NodeEvent.OfRollout(new RolloutEvent.StepAnswered(recorded.progress(), recorded.rowVersion())));
+    }
+
+    private void tell(RouterEvent event) {
+        control.accept(new NodeEvent.OfRouter(event));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/sassafrastrail/router/RendezvousSelection.java
@@ -0,0 +1,34 @@
+package org.sassafrastrail.router;
+
+import java.util.Comparator;
+import java.util.List;
+
+import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.platform.VmEntry;
+import org.sassafrastrail.rules.KeyDigest;
+
+/** Picks a bounded number of sidecars by rendezvous hashing: a VM that comes or goes moves few links. */
+final class RendezvousSelection implements LinkSelection {
+
+    private final NodeName router;
+    private final int limit;
+
+    RendezvousSelection(NodeName router, int limit) {
+        this.router = router;
+        this.limit = limit;
+    }
+
+    @Override
+    public List<VmEntry> select(List<VmEntry> sidecars) {
+        return sidecars.size() <= limit
+                ? sidecars
+                : sidecars.stream()
+                        .sorted(Comparator.comparing(this::rank))
+                        .limit(limit)
+                        .toList();
+    }
+
+    private String rank(VmEntry sidecar) {
+        return KeyDigest.of(router + "/" + sidecar.node()).hexadecimal();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/sassafrastrail/router/RouterActions.java
@@ -0,0 +1,97 @@
+package org.sassafrastrail.router;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
+
+import org.sassafrastrail.http.Problem;
+import org.sassafrastrail.model.RequestIdentifier;
+import org.sassafrastrail.router.core.NodeAction;
+import org.sassafrastrail.router.core.RouterAction;
+import org.sassafrastrail.runtime.ActionExecutor;
+import org.sassafrastrail.runtime.TrafficThreads;
+
+/** Carries out what the cores of this process decided. */
+final class RouterActions implements ActionExecutor<NodeAction> {
+
+    private final PendingCalls calls;
+    private final Dispatcher dispatcher;
+    private final SidecarLinks links;
+    private final PlatformWork platform;
+    private final TrafficThreads threads;
+    private final RouterReports reports;
+    private final CountDownLatch drained;
+
+    RouterActions(
+            PendingCalls calls,
+            Dispatcher dispatcher,
+            SidecarLinks links,
+            PlatformWork platform,
+            TrafficThreads threads,
+            RouterReports reports,
+            CountDownLatch drained) {
+        this.calls = calls;
+        this.dispatcher = dispatcher;
+        this.links = links;
+        this.platform = platform;
+        this.threads = threads;
+        this.reports = reports;
+        this.drained = drained;
+    }
+
+    @Override
+    public void carryOut(NodeAction action) {
+        if (action instanceof NodeAction.OfRollout rollout) {
+            platform.carryOut(rollout.action());
+            return;
+        }
+        RouterAction wanted = ((NodeAction.OfRouter) action).action();
+        on(wanted, RouterAction.Dispatch.class, this::dispatch);
+        on(wanted, RouterAction.Refuse.class, this::refuse);
+        on(wanted, RouterAction.AnswerUnknown.class, this::answerUnknown);
+        on(wanted, RouterAction.AnswerFailed.class, this::answerFailed);
+        on(wanted, RouterAction.Abandon.class, abandon -> dispatcher.abandon(abandon.attempt()));
+        on(wanted, RouterAction.Queued.class, reports::queued);
+        on(wanted, RouterAction.Retry.class, reports::retried);
+        on(wanted, RouterAction.Finished.class, reports::finished);
+        on(wanted, RouterAction.ClaimKey.class, platform::claim);
+        on(wanted, RouterAction.ReleaseKey.class, platform::release);
+        on(wanted, RouterAction.Tell.class, tell -> links.tell(tell.sidecar(), tell.message()));
+        on(wanted, RouterAction.Returned.class, reports::returned);
+        on(wanted, RouterAction.Adopted.class, reports::adopted);
+        on(wanted, RouterAction.Suspended.class, reports::suspended);
+        on(wanted, RouterAction.ReadRules.class, read -> platform.readRules());
+        on(wanted, RouterAction.Drained.class, done -> drained.countDown());
+    }
+
+    private static <A extends RouterAction> void on(RouterAction action, Class<A> kind, Consumer<A> work) {
+        if (kind.isInstance(action)) {
+            work.accept(kind.cast(action));
+        }
+    }
+
+    private void dispatch(RouterAction.Dispatch dispatch) {
+        reports.dispatched(dispatch);
+        dispatcher.dispatch(dispatch);
+    }
+
+    private void refuse(RouterAction.Refuse refuse) {
+        reports.refused(refuse.request(), refuse.reason());
+        answer(refuse.request(), Problems.refused(refuse.request(), refuse.reason()));
+    }
+
+    private void answerUnknown(RouterAction.AnswerUnknown unknown) {
+        reports.unknown(unknown);
+        answer(unknown.request(), Problems.unknown(unknown.request(), unknown.reason()));
+    }
+
+    private void answerFailed(RouterAction.AnswerFailed failed) {
+        reports.failed(failed);
+        answer(failed.request(), Problems.failed(failed.request(), failed.status()));
+    }
+
+    private void answer(RequestIdentifier request, Problem problem) {
+        calls.remove(request)
+                .filter(PendingCall::claim)
+                .ifPresent(call -> threads.run(() -> problem.send(call.exchange())));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/sassafrastrail/router/RouterDaemon.java
@@ -0,0 +1,198 @@
+package org.sassafrastrail.router;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.Handlers;
+import io.undertow.server.HttpHandler;
+import org.sassafrastrail.http.HttpServerService;
+import org.sassafrastrail.http.UndertowCaller;
+import org.sassafrastrail.messages.Hello;
+import org.sassafrastrail.model.Incarnation;
+import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.platform.ConfigurationStore;
+import org.sassafrastrail.platform.ControllerLeases;
+import org.sassafrastrail.platform.IdempotencyKeys;
+import org.sassafrastrail.platform.MoveRecords;
+import org.sassafrastrail.platform.TableService;
+import org.sassafrastrail.platform.http.HttpObjectStore;
+import org.sassafrastrail.platform.http.HttpTableService;
+import org.sassafrastrail.platform.http.HttpVmList;
+import org.sassafrastrail.platform.http.PlatformAddress;
+import org.sassafrastrail.rollout.BaselineFaultDetector;
+import org.sassafrastrail.rollout.PacedRolloutPolicy;
+import org.sassafrastrail.rollout.RolloutCore;
+import org.sassafrastrail.router.core.BudgetedRetryPolicy;
+import org.sassafrastrail.router.core.JitteredBackoff;
+import org.sassafrastrail.router.core.NodeAction;
+import org.sassafrastrail.router.core.NodeCore;
+import org.sassafrastrail.router.core.NodeEvent;
+import org.sassafrastrail.router.core.NodeState;
+import org.sassafrastrail.router.core.RouterCore;
+import org.sassafrastrail.router.core.RouterEvent;
+import org.sassafrastrail.router.core.RouterState;
+import org.sassafrastrail.router.core.RouterTimings;
+import org.sassafrastrail.runtime.ControlLoop;
+import org.sassafrastrail.runtime.EventLog;
+import org.sassafrastrail.runtime.LogField;
+import org.sassafrastrail.runtime.Metrics;
+import org.sassafrastrail.runtime.PeriodicTask;
+import org.sassafrastrail.runtime.Service;
+import org.sassafrastrail.runtime.Services;
+import org.sassafrastrail.runtime.TrafficThreads;
+import org.sassafrastrail.wire.LinkSettings;
+import org.sassafrastrail.wire.MessagePackCodec;
+
+/** A router: puts its parts together, starts them, and on stop answers what it has taken in before it ends. */
+public final class RouterDaemon implements Service {
+
+    private static final Duration TICK = Duration.ofMillis(20);
+    private static final Duration RULES_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration LIST_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration LEASE = Duration.ofSeconds(5);
+    private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
+    private static final Duration LONGEST_STEP = Duration.ofSeconds(10);
+    private static final Duration CONNECT_PATIENCE = Duration.ofSeconds(2);
+    private static final long LEAST_EVIDENCE = 10;
+    private static final int CLIENT_THREADS = 2;
+    private static final long LONGEST_DRAIN_SECONDS = 120;
+
+    private final EventLog log = new EventLog("org.sassafrastrail.router");
+    private final RouterSettings settings;
+    private final ControlLoop<NodeState, NodeEvent, NodeAction> loop;
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private final Services services;
+
+    /**
+     * Puts a router together.
+     *
+     * @param settings its settings
+     * @param clock tells the time
+     */
+    public RouterDaemon(RouterSettings settings, Clock clock) {
+        this.settings = settings;
+        Incarnation incarnation = new Incarnation(clock.millis());
+        NodeName node = new NodeName(settings.node());
+        Metrics metrics = new Metrics(new MetricRegistry());
+        Explanations explanations = new Explanations(clock);
+        RouterReports reports = new RouterReports(metrics, log, explanations);
+        UndertowCaller caller = new UndertowCaller(CLIENT_THREADS);
+        TrafficThreads threads = new TrafficThreads();
+        PendingCalls calls = new PendingCalls();
+        PlatformAddress address = new PlatformAddress(
+                settings.platformHost(),
+                settings.platformPort(),
+                Duration.ofMillis(settings.platformPatienceMilliseconds()));
+        SidecarLinks links = new SidecarLinks(
+                new HttpVmList(caller, address), new RendezvousSelection(node, settings.linkLimit()), this::post);
+        links.use(linkSettings(node, incarnation, links, metrics));
+        PlatformWork platform = platformWork(caller, address, node, incarnation, clock);
+        Dispatcher dispatcher = new Dispatcher(calls, links, caller, threads, this::post, metrics, settings.linkKey());
+        this.loop = new ControlLoop<>(
+                "control",
+                core(),
+                start(clock),
+                new RouterActions(calls, dispatcher, links, platform, threads, reports, drained),
+                clock,
+                log);
+        HttpHandler callers = new CallerFrontEnd(
+                settings, Long.toString(incarnation.value(), Character.MAX_RADIX), calls, this::post, reports);
+        HttpHandler operators = new OperatorFrontEnd(() -> loop.state().router(), metrics, explanations, settings);
+        gauges(metrics);
+        this.services = new Services(List.of(
+                caller,
+                threads,
+                platform,
+                loop,
+                new PeriodicTask("tick", TICK, () -> post(new RouterEvent.Tick()), log),
+                new PeriodicTask("rules", RULES_INTERVAL, platform::readRulesNow, log),
+                links,
+                new PeriodicTask("vm-list", LIST_INTERVAL, links::refresh, log),
+                new HttpServerService(settings.host(), settings.port(), handler(callers, operators))));
+    }
+
+    private static HttpHandler handler(HttpHandler callers, HttpHandler operators) {
+        return Handlers.path(callers)
+                .addExactPath("/health", operators)
+                .addExactPath("/ready", operators)
+                .addPrefixPath("/operator", operators);
+    }
+
+    private LinkSettings linkSettings(NodeName node, Incarnation incarnation, SidecarLinks links, Metrics metrics) {
+        Hello greeting = new Hello(Hello.PROTOCOL, settings.linkKey(), node, incarnation, Optional.empty());
+        return new LinkSettings(() -> greeting, new MessagePackCodec(), links, metrics, log, CONNECT_PATIENCE);
+    }
+
+    private PlatformWork platformWork(
+            UndertowCaller caller, PlatformAddress address, NodeName node, Incarnation incarnation, Clock clock) {
+        TableService table = new HttpTableService(caller, address);
+        Consumer<NodeEvent> control = event -> loop().post(event);
+        return new PlatformWork(
+                new ConfigurationStore(table, new HttpObjectStore(caller, address)),
+                new IdempotencyKeys(table),
+                new ControllerLeases(table, node, incarnation, LEASE),
+                new MoveRecords(table),
+                clock,
+                () -> loop().state().router().configuration().document().revision(),
+                control);
+    }
+
+    private static NodeCore core() {
+        return new NodeCore(
+                new RouterCore(RouterTimings.STANDARD, new BaselineFaultDetector()),
+                new RolloutCore(new PacedRolloutPolicy(LEAST_EVIDENCE, LONGEST_STEP), new BaselineFaultDetector()));
+    }
+
+    private NodeState start(Clock clock) {
+        BudgetedRetryPolicy retries = new BudgetedRetryPolicy(new JitteredBackoff(settings.seed(), FIRST_BACKOFF));
+        return NodeState.start(RouterState.start(retries, clock.instant()), clock.instant());
+    }
+
+    private void gauges(Metrics metrics) {
+        metrics.gauge("revision", () -> loop.state()
+                .router()
+                .configuration()
+                .document()
+                .revision()
+                .value());
+        metrics.gauge("requests-waiting", () -> loop.state().router().queues().size());
+        metrics.gauge("requests-running", () -> loop.state().router().running().size());
+        metrics.gauge("sidecars-linked", () -> loop.state().router().sidecars().size());
+    }
+
+    private ControlLoop<NodeState, NodeEvent, NodeAction> loop() {
+        return loop;
+    }
+
+    private void post(RouterEvent event) {
+        loop.post(new NodeEvent.OfRouter(event));
+    }
+
+    @Override
+    public void start() {
+        services.start();
+        log.info(
+                "router-started",
+                LogField.of("node", settings.node()),
+                LogField.of("port", settings.port()),
+                LogField.of("links", settings.linkKey().isEmpty() ? "open" : "keyed"));
+    }
+
+    @Override
+    public void stop() {
+        post(new RouterEvent.StopRequested());
+        try {
+            boolean whole = drained.await(LONGEST_DRAIN_SECONDS, TimeUnit.SECONDS);
+            log.info("router-stopped", LogField.of("node", settings.node()), LogField.of("whole", whole));
+        } catch (InterruptedException impatient) {
+            Thread.currentThread().interrupt();
+        }
+        services.stop();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/sassafrastrail/router/RouterReports.java
@@ -0,0 +1,121 @@
+package org.sassafrastrail.router;
+
+import org.sassafrastrail.model.RefusalReason;
+import org.sassafrastrail.model.RequestIdentifier;
+import org.sassafrastrail.router.core.RouterAction;
+import org.sassafrastrail.runtime.EventLog;
+import org.sassafrastrail.runtime.LogField;
+import org.sassafrastrail.runtime.Metrics;
+
+/** Counts, logs and explains what the router decided. */
+final class RouterReports {
+
+    private final Metrics metrics;
+    private final EventLog log;
+    private final Explanations explanations;
+
+    RouterReports(Metrics metrics, EventLog log, Explanations explanations) {
+        this.metrics = metrics;
+        this.log = log;
+        this.explanations = explanations;
+    }
+
+    EventLog log() {
+        return log;
+    }
+
+    Metrics metrics() {
+        return metrics;
+    }
+
+    void refused(RequestIdentifier request, RefusalReason reason) {
+        metrics.count("refusals", reason);
+        explanations.add(request, "refused", "reason=" + reason);
+        log.info("request-refused", LogField.of("request", request), LogField.of("reason", reason));
+    }
+
+    void queued(RouterAction.Queued action) {
+        explanations.add(
+                action.request().identifier(),
+                "queued",
+                "account=" + action.request().account() + " target="
+                        + action.request().target());
+        log.debug(
+                "request-queued",
+                LogField.of("request", action.request().identifier()),
+                LogField.of("account", action.request().account()),
+                LogField.of("target", action.request().target()));
+    }
+
+    void dispatched(RouterAction.Dispatch action) {
+        metrics.count("dispatches", 1);
+        explanations.add(
+                action.attempt().request(),
+                "dispatched",
+                "attempt=" + action.attempt().number() + " sidecar="
+                        + action.grant().sidecar());
+        log.debug(
+                "request-dispatched",
+                LogField.of("request", action.attempt().request()),
+                LogField.of("account", action.request().account()),
+                LogField.of("attempt", action.attempt().number()),
+                LogField.of("sidecar", action.grant().sidecar()));
+    }
+
+    void retried(RouterAction.Retry action) {
+        metrics.count("retries", action.reason());
+        explanations.add(
+                action.attempt().request(),
+                "to-be-tried-again",
+                "reason=" + action.reason() + " delay-ms=" + action.delay().toMillis());
+        log.info(
+                "request-retried",
+                LogField.of("request", action.attempt().request()),
+                LogField.of("attempt", action.attempt().number()),
+                LogField.of("reason", action.reason()));
+    }
+
+    void unknown(RouterAction.AnswerUnknown action) {
+        metrics.count("outcomes-unknown", action.reason());
+        explanations.add(action.request(), "outcome-unknown", "reason=" + action.reason());
+        log.warn("outcome-unknown", LogField.of("request", action.request()), LogField.of("reason", action.reason()));
+    }
+
+    void failed(RouterAction.AnswerFailed action) {
+        metrics.count("upstream-failures", 1);
+        explanations.add(action.request(), "failed", "status=" + action.status());
+        log.info("request-failed", LogField.of("request", action.request()), LogField.of("status", action.status()));
+    }
+
+    void finished(RouterAction.Finished action) {
+        metrics.count("requests-finished", 1);
+        explanations.add(
+                action.request().identifier(),
+                "finished",
+                "account=" + action.request().account());
+        log.info(
+                "request-finished",
+                LogField.of("request", action.request().identifier()),
+                LogField.of("account", action.request().account()),
+                LogField.of("target", action.request().target()));
+    }
+
+    void returned(RouterAction.Returned action) {
+        metrics.count("grants-returned", action.reason());
+    }
+
+    void adopted(RouterAction.Adopted action) {
+        log.info(
+                "configuration-adopted",
+                LogField.of("revision", action.document().revision().value()),
+                LogField.of("changed-by", action.document().changedBy()));
+    }
+
+    void suspended(RouterAction.Suspended action) {
+        metrics.count("suspensions", action.suspension().reason());
+        log.warn(
+                "version-suspended",
+                LogField.of("move", action.suspension().move().label()),
+                LogField.of("reason", action.suspension().reason()));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/sassafrastrail/router/RouterStatus.java
@@ -0,0 +1,104 @@
+package org.sassafrastrail.router;
+
+import java.util.Comparator;
+import java.util.List;
+
+import org.sassafrastrail.messages.MoveProgress;
+import org.sassafrastrail.messages.Suspension;
+import org.sassafrastrail.model.FailureDomainName;
+import org.sassafrastrail.model.MoveIdentifier;
+import org.sassafrastrail.rollout.MoveBoard;
+import org.sassafrastrail.router.core.RouterState;
+import org.sassafrastrail.router.core.SidecarLink;
+import org.sassafrastrail.rules.MoveRule;
+
+/**
+ * What operators see of a router.
+ *
+ * @param node the router
+ * @param revision the revision in force
+ * @param waiting how many requests wait
+ * @param running how many requests have an attempt under way
+ * @param domainsOut the failure domains that are out
+ * @param sidecars the linked sidecars
+ * @param moves the moves in force
+ */
+record RouterStatus(
+        String node,
+        long revision,
+        int waiting,
+        int running,
+        List<String> domainsOut,
+        List<SidecarRow> sidecars,
+        List<MoveRow> moves) {
+
+    /** One sidecar. */
+    record SidecarRow(
+            String node,
+            String target,
+            String version,
+            String failureDomain,
+            long revision,
+            int inFlight,
+            int limit,
+            boolean leaving) {
+
+        static SidecarRow of(SidecarLink link) {
+            return new SidecarRow(
+                    link.node().value(),
+                    link.profile().target().value(),
+                    link.profile().version().value(),
+                    link.profile().failureDomain().value(),
+                    link.heartbeat().revision().value(),
+                    link.heartbeat().inFlight(),
+                    link.heartbeat().limit(),
+                    link.heartbeat().leaving());
+        }
+    }
+
+    /** One move. */
+    record MoveRow(
+            String target,
+            String from,
+            String to,
+            String due,
+            int sharePerMille,
+            String verdict,
+            String reason,
+            boolean suspended) {
+
+        static MoveRow of(MoveIdentifier move, MoveBoard board) {
+            MoveProgress progress = board.progress(move);
+            MoveProgress.Reason reason =
+                    board.suspension(move).map(Suspension::reason).orElse(progress.reason());
+            return new MoveRow(
+                    move.target().value(),
+                    move.from().value(),
+                    move.to().value(),
+                    move.due().toString(),
+                    progress.share().perMille(),
+                    progress.verdict().name(),
+                    reason.name(),
+                    board.suspension(move).isPresent());
+        }
+    }
+
+    static RouterStatus of(String node, RouterState state) {
+        return new RouterStatus(
+                node,
+                state.configuration().document().revision().value(),
+                state.queues().size(),
+                state.running().size(),
+                state.rules().domainsOut().stream()
+                        .map(FailureDomainName::value)
+                        .toList(),
+                state.sidecars().values().stream()
+                        .map(SidecarRow::of)
+                        .sorted(Comparator.comparing(SidecarRow::node))
+                        .toList(),
+                state.rules().moves().stream()
+                        .map(MoveRule::move)
+                        .map(move -> MoveRow.of(move, state.board()))
+                        .toList());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/sassafrastrail/router/SidecarLinks.java
@@ -0,0 +1,127 @@
+package org.sassafrastrail.router;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+
+import org.sassafrastrail.messages.Hello;
+import org.sassafrastrail.messages.Message;
+import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.platform.VmEntry;
+import org.sassafrastrail.platform.VmList;
+import org.sassafrastrail.router.core.RouterEvent;
+import org.sassafrastrail.runtime.Service;
+import org.sassafrastrail.wire.Link;
+import org.sassafrastrail.wire.LinkClosure;
+import org.sassafrastrail.wire.LinkDialer;
+import org.sassafrastrail.wire.LinkListener;
+import org.sassafrastrail.wire.LinkSettings;
+
+/** The router's links to sidecars: dialled from the platform's list, kept while the platform is down. */
+final class SidecarLinks implements LinkListener, Service {
+
+    private static final Duration REDIAL = Duration.ofMillis(500);
+
+    private final VmList list;
+    private final LinkSelection selection;
+    private final Consumer<RouterEvent> control;
+    private final Map<Place, LinkDialer> dialers = new ConcurrentHashMap<>();
+    private final Map<NodeName, Link> links = new ConcurrentHashMap<>();
+    private final Map<NodeName, Endpoint> endpoints = new ConcurrentHashMap<>();
+    private volatile LinkSettings settings;
+
+    SidecarLinks(VmList list, LinkSelection selection, Consumer<RouterEvent> control) {
+        this.list = list;
+        this.selection = selection;
+        this.control = control;
+    }
+
+    /** Where a sidecar takes dispatches. */
+    record Endpoint(String host, int port) {}
+
+    /** Where a sidecar takes links. */
+    private record Place(String host, int port) {
+
+        static Place of(VmEntry entry) {
+            return new Place(entry.host(), entry.port());
+        }
+    }
+
+    void use(LinkSettings shared) {
+        settings = shared;
+    }
+
+    @Override
+    public void start() {
+        // The first refresh dials.
+    }
+
+    /** Looks at the platform's list. A VM that has left the list keeps its link until the link itself ends. */
+    void refresh() {
+        list.list().ifPresent(entries -> {
+            List<VmEntry> sidecars = entries.stream()
+                    .filter(entry -> entry.role() == VmEntry.Role.SIDECAR)
+                    .toList();
+            List<VmEntry> selected = selection.select(sidecars);
+            selected.forEach(entry -> dialers.computeIfAbsent(Place.of(entry), this::dial));
+            hangUp(selected);
+        });
+    }
+
+    private LinkDialer dial(Place place) {
+        LinkDialer dialer = new LinkDialer(place.host(), place.port(), REDIAL, settings);
+        dialer.start();
+        return dialer;
+    }
+
+    private void hangUp(List<VmEntry> selected) {
+        Map<Place, VmEntry> wanted =
+                selected.stream().collect(Collectors.toMap(Place::of, entry -> entry, (first, second) -> second));
+        dialers.keySet().stream().filter(place -> !wanted.containsKey(place)).forEach(place -> {
+            LinkDialer gone = dialers.remove(place);
+            if (gone != null) {
+                gone.stop();
+            }
+        });
+    }
+
+    Optional<Endpoint> endpoint(NodeName sidecar) {
+        return Optional.ofNullable(endpoints.get(sidecar));
+    }
+
+    void tell(NodeName sidecar, Message message) {
+        Optional.ofNullable(links.get(sidecar)).ifPresent(link -> link.send(message));
+    }
+
+    @Override
+    public void opened(Link link) {
+        Hello peer = link.peer();
+        peer.upstream().ifPresent(upstream -> {
+            links.put(peer.node(), link);
+            endpoints.put(peer.node(), new Endpoint(link.host(), upstream.dispatchPort()));
+            control.accept(new RouterEvent.SidecarConnected(peer.node(), peer.incarnation(), upstream.profile()));
+        });
+    }
+
+    @Override
+    public void received(Link link, Message message) {
+        control.accept(new RouterEvent.SidecarSaid(link.peer().node(), message));
+    }
+
+    @Override
+    public void closed(Link link, LinkClosure reason) {
+        if (links.remove(link.peer().node(), link)) {
+            control.accept(new RouterEvent.SidecarDisconnected(
+                    link.peer().node(), link.peer().incarnation()));
+        }
+    }
+
+    @Override
+    public void stop() {
+        dialers.values().forEach(LinkDialer::stop);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/sassafrastrail/router/package-info.java
@@ -0,0 +1,2 @@
+/** The router daemon: callers' HTTP on one side, links and dispatches to sidecars on the other. */
+package org.sassafrastrail.router;
--- a/runtime/src/main/java/org/sassafrastrail/runtime/TrafficThreads.java
+++ b/runtime/src/main/java/org/sassafrastrail/runtime/TrafficThreads.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** The threads that carry traffic. Their number follows the work, which the grants and the queues bound. */
@@ -25,9 +26,10 @@
      * Runs a piece of traffic work.
      *
      * @param work the work
+     * @return cancelling it interrupts the work
      */
-    public void run(Runnable work) {
-        threads.execute(work);
+    public Future<?> run(Runnable work) {
+        return threads.submit(work);
     }
 
     @Override
--- a/wire/src/main/java/org/sassafrastrail/wire/Link.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/Link.java
@@ -13,6 +13,13 @@
      */
     Hello peer();
 
+    /**
+     * Returns where the other side is.
+     *
+     * @return its address
+     */
+    String host();
+
     /**
      * Returns a number that tells the links of this process apart.
      *
--- a/wire/src/main/java/org/sassafrastrail/wire/SocketLink.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/SocketLink.java
@@ -40,6 +40,11 @@
         return peer;
     }
 
+    @Override
+    public String host() {
+        return socket.getInetAddress().getHostAddress();
+    }
+
     @Override
     public long number() {
         return number;
