Add the sidecar daemon around its core

Cause: each upstream VM has a slot for one process; the daemon runs requests at the upstream only after the control thread has taken their grant.

--- a/router/src/main/java/org/sassafrastrail/router/OperatorFrontEnd.java
+++ b/router/src/main/java/org/sassafrastrail/router/OperatorFrontEnd.java
@@ -1,7 +1,5 @@
 package org.sassafrastrail.router;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -10,9 +8,10 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
 import io.undertow.util.StatusCodes;
-import org.sassafrastrail.http.Problem;
+import org.sassafrastrail.http.JsonPage;
+import org.sassafrastrail.http.SharedKey;
 import org.sassafrastrail.messages.DispatchHeaders;
 import org.sassafrastrail.model.Identifiers;
 import org.sassafrastrail.model.RequestIdentifier;
@@ -28,6 +27,7 @@
     private final Metrics metrics;
     private final Explanations explanations;
     private final RouterSettings settings;
+    private final SharedKey key;
     private final ObjectMapper mapper = new ObjectMapper();
 
     OperatorFrontEnd(Supplier<RouterState> state, Metrics metrics, Explanations explanations, RouterSettings settings) {
@@ -35,31 +35,30 @@
         this.metrics = metrics;
         this.explanations = explanations;
         this.settings = settings;
+        this.key = new SharedKey(new HttpString(DispatchHeaders.LINK_KEY), settings.linkKey());
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         String path = exchange.getRequestPath();
         if (path.equals("/health")) {
-            send(exchange, "{\"healthy\":true}\n");
+            JsonPage.send(exchange, "{\"healthy\":true}\n");
         } else if (path.equals("/ready")) {
             ready(exchange);
-        } else if (!hasKey(exchange)) {
-            new Problem(StatusCodes.FORBIDDEN, "wrong-key", "The shared key is missing or wrong.", "").send(exchange);
-        } else {
+        } else if (key.admits(exchange)) {
             operator(exchange, path);
         }
     }
 
     private void operator(HttpServerExchange exchange, String path) {
         if (path.equals("/operator/metrics")) {
-            send(exchange, metrics.json());
+            JsonPage.send(exchange, metrics.json());
         } else if (path.equals("/operator/status")) {
-            send(exchange, json(RouterStatus.of(settings.node(), state.get())));
+            JsonPage.send(exchange, json(RouterStatus.of(settings.node(), state.get())));
         } else if (path.startsWith(EXPLAIN)) {
             explain(exchange, path.substring(EXPLAIN.length()));
         } else {
-            new Problem(StatusCodes.NOT_FOUND, "no-such-page", "There is no such page.", "").send(exchange);
+            JsonPage.missing(exchange);
         }
     }
 
@@ -67,21 +66,14 @@
         RouterState known = state.get();
         boolean ready = known.configuration().present() && !known.lifecycle().stopping();
         exchange.setStatusCode(ready ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
-        send(exchange, "{\"ready\":" + ready + "}\n");
+        JsonPage.send(exchange, "{\"ready\":" + ready + "}\n");
     }
 
     private void explain(HttpServerExchange exchange, String text) {
         Optional<List<String>> steps =
                 Identifiers.isName(text) ? explanations.find(new RequestIdentifier(text)) : Optional.empty();
         exchange.setStatusCode(steps.isPresent() ? StatusCodes.OK : StatusCodes.NOT_FOUND);
-        send(exchange, json(steps.orElse(List.of())));
-    }
-
-    private boolean hasKey(HttpServerExchange exchange) {
-        String given = Optional.ofNullable(exchange.getRequestHeaders().getFirst(DispatchHeaders.LINK_KEY))
-                .orElse("");
-        return MessageDigest.isEqual(
-                given.getBytes(StandardCharsets.UTF_8), settings.linkKey().getBytes(StandardCharsets.UTF_8));
+        JsonPage.send(exchange, json(steps.orElse(List.of())));
     }
 
     private String json(Object value) {
@@ -91,9 +83,4 @@
             throw new IllegalStateException("a status is always JSON", impossible);
         }
     }
-
-    private static void send(HttpServerExchange exchange, String json) {
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-        exchange.getResponseSender().send(json);
-    }
 }
--- /dev/null
+++ b/sidecar/src/main/java/org/sassafrastrail/sidecar/RouterLinks.java
@@ -0,0 +1,45 @@
+package org.sassafrastrail.sidecar;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+
+import org.sassafrastrail.messages.Message;
+import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.sidecar.core.SidecarEvent;
+import org.sassafrastrail.wire.Link;
+import org.sassafrastrail.wire.LinkClosure;
+import org.sassafrastrail.wire.LinkListener;
+
+/** The sidecar's links from routers. */
+final class RouterLinks implements LinkListener {
+
+    private final Consumer<SidecarEvent> control;
+    private final Map<NodeName, Link> links = new ConcurrentHashMap<>();
+
+    RouterLinks(Consumer<SidecarEvent> control) {
+        this.control = control;
+    }
+
+    void tell(NodeName router, Message message) {
+        Optional.ofNullable(links.get(router)).ifPresent(link -> link.send(message));
+    }
+
+    @Override
+    public void opened(Link link) {
+        links.put(link.peer().node(), link);
+        control.accept(new SidecarEvent.RouterConnected(link.peer().node(), link.number()));
+    }
+
+    @Override
+    public void received(Link link, Message message) {
+        control.accept(new SidecarEvent.RouterSaid(link.peer().node(), message));
+    }
+
+    @Override
+    public void closed(Link link, LinkClosure reason) {
+        links.remove(link.peer().node(), link);
+        control.accept(new SidecarEvent.RouterDisconnected(link.peer().node(), link.number()));
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/sassafrastrail/sidecar/SidecarActions.java
@@ -0,0 +1,93 @@
+package org.sassafrastrail.sidecar;
+
+import java.util.concurrent.CountDownLatch;
+
+import org.sassafrastrail.model.NotRunReason;
+import org.sassafrastrail.runtime.ActionExecutor;
+import org.sassafrastrail.runtime.EventLog;
+import org.sassafrastrail.runtime.LogField;
+import org.sassafrastrail.runtime.Metrics;
+import org.sassafrastrail.runtime.TrafficThreads;
+import org.sassafrastrail.sidecar.core.SidecarAction;
+
+/** Carries out what the sidecar's core decided. */
+final class SidecarActions implements ActionExecutor<SidecarAction> {
+
+    private final DispatchFrontEnd dispatches;
+    private final UpstreamCalls upstream;
+    private final RouterLinks links;
+    private final TrafficThreads threads;
+    private final Metrics metrics;
+    private final EventLog log;
+    private final CountDownLatch drained;
+
+    SidecarActions(
+            DispatchFrontEnd dispatches,
+            UpstreamCalls upstream,
+            RouterLinks links,
+            TrafficThreads threads,
+            Metrics metrics,
+            EventLog log,
+            CountDownLatch drained) {
+        this.dispatches = dispatches;
+        this.upstream = upstream;
+        this.links = links;
+        this.threads = threads;
+        this.metrics = metrics;
+        this.log = log;
+        this.drained = drained;
+    }
+
+    @Override
+    public void carryOut(SidecarAction action) {
+        if (action instanceof SidecarAction.Tell tell) {
+            links.tell(tell.router(), tell.message());
+        } else if (action instanceof SidecarAction.Begin begin) {
+            begin(begin);
+        } else if (action instanceof SidecarAction.Decline decline) {
+            decline(decline);
+        } else if (action instanceof SidecarAction.Expired expired) {
+            expired(expired);
+        } else if (action instanceof SidecarAction.Adopted adopted) {
+            log.info(
+                    "configuration-adopted",
+                    LogField.of("revision", adopted.document().revision().value()));
+        } else if (action instanceof SidecarAction.TurnedCold cold) {
+            metrics.count("upstream-turned-cold", 1);
+            log.info("upstream-turned-cold", LogField.of("limit", cold.limit()));
+        } else {
+            drained.countDown();
+        }
+    }
+
+    private void begin(SidecarAction.Begin begin) {
+        metrics.count("attempts-begun", 1);
+        log.debug(
+                "attempt-begun",
+                LogField.of("request", begin.attempt().request()),
+                LogField.of("account", begin.account()),
+                LogField.of("attempt", begin.attempt().number()));
+        dispatches.take(begin.grant()).ifPresent(dispatch -> threads.run(() -> upstream.run(dispatch)));
+    }
+
+    private void decline(SidecarAction.Decline decline) {
+        NotRunReason reason = decline.reason();
+        metrics.count("attempts-declined", reason);
+        log.info(
+                "attempt-declined",
+                LogField.of("request", decline.attempt().request()),
+                LogField.of("attempt", decline.attempt().number()),
+                LogField.of("reason", reason));
+        dispatches
+                .take(decline.grant())
+                .ifPresent(dispatch -> threads.run(() -> UpstreamCalls.decline(dispatch.exchange(), reason)));
+    }
+
+    private void expired(SidecarAction.Expired expired) {
+        metrics.count("grants-expired", 1);
+        log.info(
+                "grant-expired",
+                LogField.of("account", expired.account()),
+                LogField.of("grant", expired.grant().sequence()));
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/sassafrastrail/sidecar/SidecarDaemon.java
@@ -0,0 +1,175 @@
+package org.sassafrastrail.sidecar;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.Handlers;
+import org.sassafrastrail.fairness.CorrectedHintEstimator;
+import org.sassafrastrail.fairness.LeastServicePolicy;
+import org.sassafrastrail.fairness.MeanCostEstimator;
+import org.sassafrastrail.http.HttpServerService;
+import org.sassafrastrail.http.UndertowCaller;
+import org.sassafrastrail.messages.Hello;
+import org.sassafrastrail.messages.UpstreamEndpoint;
+import org.sassafrastrail.model.Capability;
+import org.sassafrastrail.model.FailureDomainName;
+import org.sassafrastrail.model.Incarnation;
+import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.model.TargetName;
+import org.sassafrastrail.model.UpstreamProfile;
+import org.sassafrastrail.model.VersionName;
+import org.sassafrastrail.rules.TargetRule;
+import org.sassafrastrail.runtime.ControlLoop;
+import org.sassafrastrail.runtime.EventLog;
+import org.sassafrastrail.runtime.LogField;
+import org.sassafrastrail.runtime.Metrics;
+import org.sassafrastrail.runtime.PeriodicTask;
+import org.sassafrastrail.runtime.Service;
+import org.sassafrastrail.runtime.Services;
+import org.sassafrastrail.runtime.TrafficThreads;
+import org.sassafrastrail.sidecar.core.AdditiveIncreaseLimit;
+import org.sassafrastrail.sidecar.core.ConcurrencyLimit;
+import org.sassafrastrail.sidecar.core.GradientLimit;
+import org.sassafrastrail.sidecar.core.SidecarAction;
+import org.sassafrastrail.sidecar.core.SidecarCore;
+import org.sassafrastrail.sidecar.core.SidecarEvent;
+import org.sassafrastrail.sidecar.core.SidecarIdentity;
+import org.sassafrastrail.sidecar.core.SidecarState;
+import org.sassafrastrail.sidecar.core.SidecarTimings;
+import org.sassafrastrail.wire.LinkServer;
+import org.sassafrastrail.wire.LinkSettings;
+import org.sassafrastrail.wire.MessagePackCodec;
+
+/** A sidecar: puts its parts together, starts them, and on stop finishes what its upstream runs before it ends. */
+public final class SidecarDaemon implements Service {
+
+    private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration LOAD_INTERVAL = Duration.ofMillis(500);
+    private static final Duration CONNECT_PATIENCE = Duration.ofSeconds(2);
+    private static final long FIRST_ESTIMATE_TOKENS = 50;
+    private static final int CLIENT_THREADS = 1;
+    private static final long LONGEST_DRAIN_SECONDS = 120;
+
+    private final EventLog log = new EventLog("org.sassafrastrail.sidecar");
+    private final SidecarSettings settings;
+    private final ControlLoop<SidecarState, SidecarEvent, SidecarAction> loop;
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private final Services services;
+
+    /**
+     * Puts a sidecar together.
+     *
+     * @param settings its settings
+     * @param clock tells the time
+     */
+    public SidecarDaemon(SidecarSettings settings, Clock clock) {
+        this.settings = settings;
+        SidecarIdentity identity = identity(settings, clock);
+        Metrics metrics = new Metrics(new MetricRegistry());
+        UndertowCaller caller = new UndertowCaller(CLIENT_THREADS);
+        TrafficThreads threads = new TrafficThreads();
+        RouterLinks links = new RouterLinks(this::post);
+        DispatchFrontEnd dispatches = new DispatchFrontEnd(settings, this::post, log);
+        UpstreamCalls upstream = new UpstreamCalls(settings, caller, () -> capability(identity), this::post);
+        this.loop = new ControlLoop<>(
+                "control",
+                new SidecarCore(identity, new LeastServicePolicy(), SidecarTimings.STANDARD),
+                start(settings, clock),
+                new SidecarActions(dispatches, upstream, links, threads, metrics, log, drained),
+                clock,
+                log);
+        LoadPoller poller = new LoadPoller(settings, caller, this::post);
+        SidecarFrontEnd pages = new SidecarFrontEnd(settings, () -> loop().state(), metrics);
+        gauges(metrics);
+        this.services = new Services(List.of(
+                caller,
+                threads,
+                loop,
+                new PeriodicTask("tick", TICK, () -> post(new SidecarEvent.Tick()), log),
+                new PeriodicTask("load", LOAD_INTERVAL, poller::poll, log),
+                new HttpServerService(
+                        settings.host(),
+                        settings.dispatchPort(),
+                        Handlers.path(dispatches).addExactPath("/health", pages).addPrefixPath("/operator", pages)),
+                new LinkServer(settings.host(), settings.controlPort(), linkSettings(identity, links, metrics))));
+    }
+
+    private static SidecarIdentity identity(SidecarSettings settings, Clock clock) {
+        UpstreamProfile profile = new UpstreamProfile(
+                new TargetName(settings.target()),
+                new VersionName(settings.version()),
+                new FailureDomainName(settings.failureDomain()));
+        return new SidecarIdentity(new NodeName(settings.node()), new Incarnation(clock.millis()), profile);
+    }
+
+    private static SidecarState start(SidecarSettings settings, Clock clock) {
+        ConcurrencyLimit limit =
+                settings.limit().equals("gradient") ? new GradientLimit() : new AdditiveIncreaseLimit();
+        return SidecarState.start(
+                limit, new CorrectedHintEstimator(new MeanCostEstimator(FIRST_ESTIMATE_TOKENS)), clock.instant());
+    }
+
+    private LinkSettings linkSettings(SidecarIdentity identity, RouterLinks links, Metrics metrics) {
+        Hello greeting = new Hello(
+                Hello.PROTOCOL,
+                settings.linkKey(),
+                identity.node(),
+                identity.incarnation(),
+                Optional.of(new UpstreamEndpoint(identity.profile(), settings.dispatchPort())));
+        return new LinkSettings(() -> greeting, new MessagePackCodec(), links, metrics, log, CONNECT_PATIENCE);
+    }
+
+    private Capability capability(SidecarIdentity identity) {
+        return loop.state()
+                .rules()
+                .target(identity.profile().target())
+                .map(TargetRule::capability)
+                .orElse(Capability.SERVICE);
+    }
+
+    private void gauges(Metrics metrics) {
+        metrics.gauge(
+                "revision",
+                () -> loop.state().configuration().document().revision().value());
+        metrics.gauge("in-flight", () -> loop.state().work().running().size());
+        metrics.gauge("limit", () -> loop.state().upstream().limit().current());
+        metrics.gauge("grants-made", () -> loop.state().work().lastSequence());
+        metrics.gauge("routers-linked", () -> loop.state().routers().size());
+    }
+
+    private ControlLoop<SidecarState, SidecarEvent, SidecarAction> loop() {
+        return loop;
+    }
+
+    private void post(SidecarEvent event) {
+        loop.post(event);
+    }
+
+    @Override
+    public void start() {
+        services.start();
+        log.info(
+                "sidecar-started",
+                LogField.of("node", settings.node()),
+                LogField.of("target", settings.target()),
+                LogField.of("version", settings.version()),
+                LogField.of("links", settings.linkKey().isEmpty() ? "open" : "keyed"));
+    }
+
+    @Override
+    public void stop() {
+        post(new SidecarEvent.StopRequested());
+        try {
+            boolean whole = drained.await(LONGEST_DRAIN_SECONDS, TimeUnit.SECONDS);
+            log.info("sidecar-stopped", LogField.of("node", settings.node()), LogField.of("whole", whole));
+        } catch (InterruptedException impatient) {
+            Thread.currentThread().interrupt();
+        }
+        services.stop();
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/sassafrastrail/sidecar/TokenCounter.java
@@ -0,0 +1,37 @@
+package org.sassafrastrail.sidecar;
+
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+
+import org.sassafrastrail.model.GrantIdentifier;
+import org.sassafrastrail.sidecar.core.SidecarEvent;
+
+/** Counts the tokens of a streamed answer, one a line, and tells the control thread from time to time. */
+final class TokenCounter {
+
+    private static final int TOLD_EVERY = 16;
+
+    private final GrantIdentifier grant;
+    private final Consumer<SidecarEvent> control;
+    private long total;
+    private long told;
+
+    TokenCounter(GrantIdentifier grant, Consumer<SidecarEvent> control) {
+        this.grant = grant;
+        this.control = control;
+    }
+
+    void count(byte[] buffer, int length) {
+        total += IntStream.range(0, length)
+                .filter(place -> buffer[place] == '\n')
+                .count();
+        if (total - told >= TOLD_EVERY) {
+            told = total;
+            control.accept(new SidecarEvent.AnswerProgressed(grant, total));
+        }
+    }
+
+    long total() {
+        return total;
+    }
+}
