Add stand-ins, the operators' command line and the one program

Cause: the path needs a platform, engines and services to run against, and operators need one command.

--- /dev/null
+++ b/application/src/main/java/org/sassafrastrail/application/Main.java
@@ -0,0 +1,38 @@
+package org.sassafrastrail.application;
+
+import java.io.PrintStream;
+import java.time.Clock;
+import java.util.Arrays;
+import java.util.List;
+
+import org.sassafrastrail.operator.ExitCode;
+import org.sassafrastrail.operator.OperatorConsole;
+
+/** Starts the program that the first word names. */
+public final class Main {
+
+    private Main() {}
+
+    /**
+     * Runs a program and ends the process with its exit code.
+     *
+     * @param arguments the command line
+     */
+    public static void main(String[] arguments) {
+        ExitCode code = run(Arrays.asList(arguments), Clock.systemUTC(), System.out);
+        if (code != ExitCode.DONE) {
+            System.exit(code.number());
+        }
+    }
+
+    static ExitCode run(List<String> arguments, Clock clock, PrintStream output) {
+        Programs programs = new Programs(clock);
+        OperatorConsole operators = new OperatorConsole(clock);
+        if (arguments.isEmpty() || arguments.equals(List.of("--help"))) {
+            programs.usage().forEach(output::println);
+            operators.usage().forEach(output::println);
+            return arguments.isEmpty() ? ExitCode.USAGE : ExitCode.DONE;
+        }
+        return programs.has(arguments.get(0)) ? programs.run(arguments, output) : operators.run(arguments, output);
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/sassafrastrail/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line: rules, failure domains, version moves, status and explanations. */
+package org.sassafrastrail.operator;
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/UpstreamView.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/UpstreamView.java
@@ -7,31 +7,44 @@
  * What the sidecar knows of its upstream.
  *
  * @param limit how many requests it may run at once
- * @param reachable whether it answered when last asked for its load
+ * @param missedReports how many reports in a row it has missed; from two on it counts as unreachable
  * @param incarnation its last known life, 0 for unknown
  * @param foreign how many requests may run there that an earlier life of the sidecar began
  * @param lastChange when the sidecar last began or ended a request
  */
 public record UpstreamView(
-        ConcurrencyLimit limit, boolean reachable, long incarnation, int foreign, Instant lastChange) {
+        ConcurrencyLimit limit, int missedReports, long incarnation, int foreign, Instant lastChange) {
+
+    /** A single missed report may be a slow one. */
+    private static final int UNREACHABLE = 2;
 
     /** Reports lag by less than this. */
     private static final Duration LONGEST_LAG = Duration.ofSeconds(2);
 
     static UpstreamView unknown(ConcurrencyLimit limit, Instant now) {
-        return new UpstreamView(limit, false, 0, 0, now);
+        return new UpstreamView(limit, UNREACHABLE, 0, 0, now);
     }
 
     UpstreamView with(ConcurrencyLimit next) {
-        return new UpstreamView(next, reachable, incarnation, foreign, lastChange);
+        return new UpstreamView(next, missedReports, incarnation, foreign, lastChange);
     }
 
     UpstreamView changed(Instant now) {
-        return new UpstreamView(limit, reachable, incarnation, foreign, now);
+        return new UpstreamView(limit, missedReports, incarnation, foreign, now);
+    }
+
+    /**
+     * Tells whether the upstream answers when asked for its load.
+     *
+     * @return whether it can be reached
+     */
+    public boolean reachable() {
+        return missedReports < UNREACHABLE;
     }
 
-    UpstreamView unreachable() {
-        return new UpstreamView(limit.cold(), false, incarnation, foreign, lastChange);
+    UpstreamView missed() {
+        boolean gone = missedReports + 1 >= UNREACHABLE;
+        return new UpstreamView(gone ? limit.cold() : limit, missedReports + 1, incarnation, foreign, lastChange);
     }
 
     /**
@@ -45,11 +58,11 @@
         int left = Math.max(0, report.running() - ownRequests);
         int lower = settled ? Math.min(foreign, left) : foreign;
         ConcurrencyLimit next = restarted || report.cold() ? limit.cold() : limit;
-        return new UpstreamView(next, true, report.incarnation(), first ? left : lower, lastChange);
+        return new UpstreamView(next, 0, report.incarnation(), first ? left : lower, lastChange);
     }
 
     /** How many requests may run beside the present ones. */
     int free(int ownRequests) {
-        return reachable ? limit.current() - foreign - ownRequests : 0;
+        return reachable() ? limit.current() - foreign - ownRequests : 0;
     }
 }
--- /dev/null
+++ b/standins/src/main/java/org/sassafrastrail/standins/Misbehaviour.java
@@ -0,0 +1,29 @@
+package org.sassafrastrail.standins;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+
+/**
+ * How a stand-in shall misbehave. Sent as JSON to {@code /misbehave}; what is left out is off.
+ *
+ * @param down whether it closes every connection without an answer
+ * @param slowMilliseconds how much longer every answer takes
+ * @param loseAnswers how many of the next changes take effect and get no answer
+ * @param cutAfterTokens after how many tokens it cuts streams, 0 for never
+ * @param failPerMille how many of a thousand requests fail
+ * @param failRoute the route on which requests fail, empty for all
+ */
+@JsonIgnoreProperties(ignoreUnknown = false)
+public record Misbehaviour(
+        boolean down, long slowMilliseconds, int loseAnswers, int cutAfterTokens, int failPerMille, String failRoute) {
+
+    static final Misbehaviour NONE = new Misbehaviour(false, 0, 0, 0, 0, "");
+
+    Misbehaviour oneAnswerLost() {
+        return new Misbehaviour(down, slowMilliseconds, loseAnswers - 1, cutAfterTokens, failPerMille, failRoute);
+    }
+
+    boolean fails(String route, long number) {
+        boolean here = failRoute == null || failRoute.isEmpty() || route.equals(failRoute);
+        return here && Math.floorMod(number * 617, 1000) < failPerMille;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sassafrastrail/standins/ServiceStandIn.java
@@ -0,0 +1,55 @@
+package org.sassafrastrail.standins;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.StatusCodes;
+import org.sassafrastrail.http.JsonPage;
+import org.xnio.IoUtils;
+
+/** A plain service, such as a booking desk: each call runs once and counts its runs. */
+final class ServiceStandIn implements HttpHandler {
+
+    private final StandInSettings.ServiceSettings settings;
+    private final AtomicReference<Misbehaviour> misbehaviour;
+    private final RunCounts runs = new RunCounts();
+    private final CountDownLatch never = new CountDownLatch(1);
+    private final ObjectMapper mapper = new ObjectMapper();
+
+    ServiceStandIn(StandInSettings.ServiceSettings settings, AtomicReference<Misbehaviour> misbehaviour) {
+        this.settings = settings;
+        this.misbehaviour = misbehaviour;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) throws IOException, InterruptedException {
+        switch (exchange.getRequestPath()) {
+            case "/runs" -> JsonPage.send(exchange, runs.json());
+            case "/load" -> JsonPage.missing(exchange);
+            default -> run(exchange);
+        }
+    }
+
+    private void run(HttpServerExchange exchange) throws IOException, InterruptedException {
+        JsonNode body = mapper.readTree(exchange.getInputStream().readAllBytes());
+        String identifier = body.path("id").asText("none");
+        runs.add(identifier);
+        never.await(settings.callMilliseconds(), TimeUnit.MILLISECONDS);
+        if (misbehaviour.get().loseAnswers() > 0) {
+            misbehaviour.updateAndGet(Misbehaviour::oneAnswerLost);
+            IoUtils.safeClose(exchange.getConnection());
+            return;
+        }
+        exchange.setStatusCode(
+                misbehaviour.get().fails(exchange.getRequestPath(), identifier.hashCode())
+                        ? StatusCodes.INTERNAL_SERVER_ERROR
+                        : StatusCodes.OK);
+        JsonPage.send(exchange, "{\"done\":true,\"id\":\"" + identifier + "\"}\n");
+    }
+}
