--- a/application/src/main/java/org/sassafrastrail/application/Main.java
+++ b/application/src/main/java/org/sassafrastrail/application/Main.java
@@ -30,9 +30,13 @@
         OperatorConsole operators = new OperatorConsole(clock);
         if (arguments.isEmpty() || arguments.equals(List.of("--help"))) {
             programs.usage().forEach(output::println);
+            output.println(LoadProgram.USAGE);
             operators.usage().forEach(output::println);
             return arguments.isEmpty() ? ExitCode.USAGE : ExitCode.DONE;
         }
+        if (arguments.get(0).equals(LoadProgram.WORD)) {
+            return new LoadProgram(clock).run(arguments, output);
+        }
         return programs.has(arguments.get(0)) ? programs.run(arguments, output) : operators.run(arguments, output);
     }
 }
