Hold the limit while an engine shows signs of a cold start

Ruled out: slower growth alone (it only falls later); trusting a report that shows the engine warm (it may be older than the fall). Conclusion: no growth until no sign of a cold start was seen for longer than reports lag.

--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/DispatchHandler.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/DispatchHandler.java
@@ -56,7 +56,7 @@
         int inFlight = state.work().running().size();
         SidecarState ended = state.with(state.work().ended(event.grant()))
                 .with(state.upstream().changed(now));
-        return settle(ended, running, event.outcome(), inFlight);
+        return settle(ended, running, event.outcome(), inFlight, now);
     }
 
     Transition<SidecarState, SidecarAction> returned(SidecarState state, GrantReturn message) {
@@ -130,40 +130,39 @@
     }
 
     private Transition<SidecarState, SidecarAction> settle(
-            SidecarState state, RunningAttempt running, UpstreamOutcome outcome, int inFlight) {
+            SidecarState state, RunningAttempt running, UpstreamOutcome outcome, int inFlight, Instant now) {
         if (outcome instanceof UpstreamOutcome.Answered answered) {
-            return answered(state, running, answered, inFlight);
+            return answered(state, running, answered, inFlight, now);
         }
         if (outcome instanceof UpstreamOutcome.NotTaken) {
-            return turnCold(pay(state, running, 0));
+            return turnCold(pay(state, running, 0), now);
         }
         if (outcome instanceof UpstreamOutcome.Broken broken) {
-            return turnCold(count(pay(state, running, broken.cost()), running, EvidenceEntry::failed));
+            return turnCold(count(pay(state, running, broken.cost()), running, EvidenceEntry::failed), now);
         }
         UpstreamOutcome.Cancelled cancelled = (UpstreamOutcome.Cancelled) outcome;
         return Transition.stay(pay(state, running, cancelled.cost()));
     }
 
     private Transition<SidecarState, SidecarAction> answered(
-            SidecarState state, RunningAttempt running, UpstreamOutcome.Answered answered, int inFlight) {
+            SidecarState state, RunningAttempt running, UpstreamOutcome.Answered answered, int inFlight, Instant now) {
         SidecarState paid = pay(state, running, answered.cost());
         if (answered.failed()) {
             SidecarState failed = count(paid, running, EvidenceEntry::failed);
-            return answered.overloaded() ? turnCold(failed) : Transition.stay(failed);
+            return answered.overloaded() ? turnCold(failed, now) : Transition.stay(failed);
         }
         Duration latency = answered.latency();
         SidecarState counted = count(paid, running, entry -> entry.answered(latency.toMillis()));
-        return Transition.stay(
-                counted.with(counted.upstream().with(counted.upstream().limit().answered(latency, inFlight)))
-                        .with(counted.estimator().learned(running.account(), running.hint(), answered.cost())));
+        return Transition.stay(counted.with(counted.upstream().answered(latency, inFlight, now))
+                .with(counted.estimator().learned(running.account(), running.hint(), answered.cost())));
     }
 
     private SidecarState pay(SidecarState state, RunningAttempt running, long cost) {
         return accounts.charge(state, running.account(), cost - running.charge());
     }
 
-    private static Transition<SidecarState, SidecarAction> turnCold(SidecarState state) {
-        UpstreamView cold = state.upstream().with(state.upstream().limit().cold());
+    private static Transition<SidecarState, SidecarAction> turnCold(SidecarState state, Instant now) {
+        UpstreamView cold = state.upstream().turnedCold(now);
         return Transition.<SidecarState, SidecarAction>stay(state.with(cold))
                 .then(new SidecarAction.TurnedCold(cold.limit().current()));
     }
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/LinkHandler.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/LinkHandler.java
@@ -163,7 +163,7 @@
                 .map(LinkHandler::bounds)
                 .orElse(LimitBounds.LEAST);
         SidecarState next = state.with(new SidecarState.Configuration(document, rules, true))
-                .with(state.upstream().with(state.upstream().limit().within(bounds)));
+                .with(state.upstream().within(bounds));
         return Transition.<SidecarState, SidecarAction>stay(next)
                 .then(new SidecarAction.Adopted(document))
                 .thenAll(state.routers().keySet().stream()
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/SidecarCore.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/SidecarCore.java
@@ -38,7 +38,7 @@
                 .on(SidecarEvent.AnswerProgressed.class, dispatches::progressed)
                 .on(SidecarEvent.AnswerEnded.class, dispatches::ended)
                 .on(SidecarEvent.LoadReported.class, SidecarCore::loadReported)
-                .on(SidecarEvent.LoadUnavailable.class, (state, event, now) -> missed(state))
+                .on(SidecarEvent.LoadUnavailable.class, (state, event, now) -> missed(state, now))
                 .on(SidecarEvent.StopRequested.class, (state, event, now) -> leave(state))
                 .on(SidecarEvent.Tick.class, (state, event, now) -> ticks.tick(state, now))
                 .complete();
@@ -59,8 +59,8 @@
         return after < before ? next.then(new SidecarAction.TurnedCold(after)) : next;
     }
 
-    private static Transition<SidecarState, SidecarAction> missed(SidecarState state) {
-        return Transition.stay(state.with(state.upstream().missed()));
+    private static Transition<SidecarState, SidecarAction> missed(SidecarState state, Instant now) {
+        return Transition.stay(state.with(state.upstream().missed(now)));
     }
 
     private static Transition<SidecarState, SidecarAction> leave(SidecarState state) {
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/UpstreamView.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/UpstreamView.java
@@ -11,9 +11,15 @@
  * @param incarnation its last known life, 0 for unknown
  * @param foreign how many requests may run there that an earlier life of the sidecar began
  * @param lastChange when the sidecar last began or ended a request
+ * @param lastCold when the upstream last showed a sign of a cold start
  */
 public record UpstreamView(
-        ConcurrencyLimit limit, int missedReports, long incarnation, int foreign, Instant lastChange) {
+        ConcurrencyLimit limit,
+        int missedReports,
+        long incarnation,
+        int foreign,
+        Instant lastChange,
+        Instant lastCold) {
 
     /** A single missed report may be a slow one. */
     private static final int UNREACHABLE = 2;
@@ -22,15 +28,30 @@
     private static final Duration LONGEST_LAG = Duration.ofSeconds(2);
 
     static UpstreamView unknown(ConcurrencyLimit limit, Instant now) {
-        return new UpstreamView(limit, UNREACHABLE, 0, 0, now);
+        return new UpstreamView(limit, UNREACHABLE, 0, 0, now, now);
     }
 
-    UpstreamView with(ConcurrencyLimit next) {
-        return new UpstreamView(next, missedReports, incarnation, foreign, lastChange);
+    UpstreamView within(LimitBounds bounds) {
+        return with(limit.within(bounds));
+    }
+
+    /** Falls back to the cold limit at once. */
+    UpstreamView turnedCold(Instant now) {
+        return new UpstreamView(limit.cold(), missedReports, incarnation, foreign, lastChange, now);
+    }
+
+    /**
+     * Learns that a request was answered. Answers of a cold upstream say nothing about what it bears when warm, and a
+     * report that shows it warm may be older than its fall, so the limit stays until no sign of a cold start was seen
+     * for longer than reports lag.
+     */
+    UpstreamView answered(Duration latency, int inFlight, Instant now) {
+        boolean warm = Duration.between(lastCold, now).compareTo(LONGEST_LAG) > 0;
+        return warm ? with(limit.answered(latency, inFlight)) : this;
     }
 
     UpstreamView changed(Instant now) {
-        return new UpstreamView(limit, missedReports, incarnation, foreign, now);
+        return new UpstreamView(limit, missedReports, incarnation, foreign, now, lastCold);
     }
 
     /**
@@ -42,9 +63,9 @@
         return missedReports < UNREACHABLE;
     }
 
-    UpstreamView missed() {
-        boolean gone = missedReports + 1 >= UNREACHABLE;
-        return new UpstreamView(gone ? limit.cold() : limit, missedReports + 1, incarnation, foreign, lastChange);
+    UpstreamView missed(Instant now) {
+        UpstreamView view = missedReports + 1 >= UNREACHABLE ? turnedCold(now) : this;
+        return new UpstreamView(view.limit, missedReports + 1, incarnation, foreign, lastChange, view.lastCold);
     }
 
     /**
@@ -57,12 +78,16 @@
         boolean settled = Duration.between(lastChange, now).compareTo(LONGEST_LAG) > 0;
         int left = Math.max(0, report.running() - ownRequests);
         int lower = settled ? Math.min(foreign, left) : foreign;
-        ConcurrencyLimit next = restarted || report.cold() ? limit.cold() : limit;
-        return new UpstreamView(next, 0, report.incarnation(), first ? left : lower, lastChange);
+        UpstreamView view = restarted || report.cold() ? turnedCold(now) : this;
+        return new UpstreamView(view.limit, 0, report.incarnation(), first ? left : lower, lastChange, view.lastCold);
     }
 
     /** How many requests may run beside the present ones. */
     int free(int ownRequests) {
         return reachable() ? limit.current() - foreign - ownRequests : 0;
     }
+
+    private UpstreamView with(ConcurrencyLimit next) {
+        return new UpstreamView(next, missedReports, incarnation, foreign, lastChange, lastCold);
+    }
 }
