--- /dev/null
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/CoresInMemoryTest.java
@@ -0,0 +1,43 @@
+package org.sassafrastrail.acceptance;
+
+import java.time.Duration;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.sassafrastrail.acceptance.fleet.RuleTexts;
+import org.sassafrastrail.acceptance.fleet.VirtualFleet;
+import org.sassafrastrail.acceptance.fleet.VirtualRouter;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Another front end drives the same cores: a router core and a sidecar core fed to each other in memory. */
+class CoresInMemoryTest {
+
+    @Test
+    void aRequestIsAnsweredFromEndToEnd() {
+        VirtualFleet fleet = new VirtualFleet(Duration.ofMillis(5));
+        VirtualRouter router = fleet.addRouter();
+        fleet.addSidecar("v1", "north");
+        fleet.accept(RuleTexts.model(1, 4, Map.of("guest", 1)));
+        fleet.time().runFor(Duration.ofSeconds(1));
+
+        fleet.submit(router, "guest", 10, 20);
+        fleet.time().runFor(Duration.ofSeconds(1));
+
+        assertThat(fleet.endings().values()).containsExactly("finished");
+        assertThat(fleet.service("guest")).isEqualTo(20);
+    }
+
+    @Test
+    void whatNobodyServesIsRefusedAsNotRunAtItsDeadline() {
+        VirtualFleet fleet = new VirtualFleet(Duration.ofMillis(5));
+        VirtualRouter router = fleet.addRouter();
+        fleet.accept(RuleTexts.model(1, 4, Map.of("guest", 1)));
+        fleet.time().runFor(Duration.ofSeconds(1));
+
+        fleet.submit(router, "guest", 10, 20, true, Duration.ofSeconds(2));
+        fleet.time().runFor(Duration.ofSeconds(3));
+
+        assertThat(fleet.endings().values()).containsExactly("refused DEADLINE_EXCEEDED");
+    }
+}
--- /dev/null
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/VirtualSidecar.java
@@ -0,0 +1,170 @@
+package org.sassafrastrail.acceptance.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.fairness.CorrectedHintEstimator;
+import org.sassafrastrail.fairness.FairnessPolicy;
+import org.sassafrastrail.fairness.MeanCostEstimator;
+import org.sassafrastrail.messages.Message;
+import org.sassafrastrail.model.AttemptIdentifier;
+import org.sassafrastrail.model.AttemptOutcome;
+import org.sassafrastrail.model.FailureDomainName;
+import org.sassafrastrail.model.GrantIdentifier;
+import org.sassafrastrail.model.Incarnation;
+import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.model.TargetName;
+import org.sassafrastrail.model.UnknownReason;
+import org.sassafrastrail.model.UpstreamProfile;
+import org.sassafrastrail.model.VersionName;
+import org.sassafrastrail.router.core.RouterEvent;
+import org.sassafrastrail.sidecar.core.ConcurrencyLimit;
+import org.sassafrastrail.sidecar.core.SidecarAction;
+import org.sassafrastrail.sidecar.core.SidecarCore;
+import org.sassafrastrail.sidecar.core.SidecarEvent;
+import org.sassafrastrail.sidecar.core.SidecarIdentity;
+import org.sassafrastrail.sidecar.core.SidecarState;
+import org.sassafrastrail.sidecar.core.SidecarTimings;
+import org.sassafrastrail.sidecar.core.UpstreamOutcome;
+
+/** A sidecar core in memory. */
+public final class VirtualSidecar {
+
+    private static final long FIRST_ESTIMATE_TOKENS = 50;
+
+    private final VirtualFleet fleet;
+    private final String name;
+    private final String version;
+    private final String domain;
+    private final FairnessPolicy policy;
+    private final SidecarTimings timings;
+    private final ConcurrencyLimit firstLimit;
+    private final VirtualEngine engine;
+    private final Map<GrantIdentifier, VirtualRouter> dispatchers = new HashMap<>();
+    private final Map<GrantIdentifier, AttemptIdentifier> attempts = new HashMap<>();
+    private SidecarCore core;
+    private SidecarState state;
+    private Incarnation incarnation = new Incarnation(1);
+    private boolean frozen;
+
+    VirtualSidecar(
+            VirtualFleet fleet,
+            String name,
+            String version,
+            String domain,
+            FairnessPolicy policy,
+            SidecarTimings timings,
+            ConcurrencyLimit firstLimit) {
+        this.fleet = fleet;
+        this.name = name;
+        this.version = version;
+        this.domain = domain;
+        this.policy = policy;
+        this.timings = timings;
+        this.firstLimit = firstLimit;
+        this.engine = new VirtualEngine(fleet, fleet.token());
+        startCore();
+    }
+
+    private void startCore() {
+        core = new SidecarCore(new SidecarIdentity(node(), incarnation, profile()), policy, timings);
+        state = SidecarState.start(
+                firstLimit,
+                new CorrectedHintEstimator(new MeanCostEstimator(FIRST_ESTIMATE_TOKENS)),
+                fleet.time().now());
+    }
+
+    public NodeName node() {
+        return new NodeName(name);
+    }
+
+    public Incarnation incarnation() {
+        return incarnation;
+    }
+
+    public UpstreamProfile profile() {
+        return new UpstreamProfile(
+                new TargetName(VirtualFleet.TARGET), new VersionName(version), new FailureDomainName(domain));
+    }
+
+    public VirtualEngine engine() {
+        return engine;
+    }
+
+    public SidecarState state() {
+        return state;
+    }
+
+    /** Loses its memory and starts anew; its upstream goes on. */
+    public void restart() {
+        fleet.disconnectAll(this);
+        incarnation = new Incarnation(incarnation.value() + 1);
+        startCore();
+        engine.report(this);
+        fleet.connectAll(this);
+    }
+
+    /** Stops or goes on handling events, like a frozen process: what came in between is handled afterwards. */
+    public void freeze(boolean next) {
+        frozen = next;
+        if (!next) {
+            fleet.thaw(this);
+        }
+    }
+
+    public boolean frozen() {
+        return frozen;
+    }
+
+    public void post(SidecarEvent event) {
+        if (frozen) {
+            fleet.keep(this, event);
+            return;
+        }
+        Transition<SidecarState, SidecarAction> transition =
+                core.handle(state, event, fleet.time().now());
+        state = transition.state();
+        transition.actions().forEach(this::carryOut);
+    }
+
+    void dispatched(VirtualRouter router, SidecarEvent.DispatchArrived event) {
+        dispatchers.put(event.grant(), router);
+        attempts.put(event.grant(), event.attempt());
+        post(event);
+    }
+
+    private void carryOut(SidecarAction action) {
+        if (action instanceof SidecarAction.Tell tell) {
+            tell(tell.router(), tell.message());
+        } else if (action instanceof SidecarAction.Begin begin) {
+            engine.begin(this, begin.attempt(), begin.grant());
+        } else if (action instanceof SidecarAction.Decline decline) {
+            fleet.count("declined " + decline.reason());
+            tellOutcome(decline.grant(), new AttemptOutcome.NotRun(decline.reason()));
+        } else if (action instanceof SidecarAction.Expired) {
+            fleet.count("expired");
+        }
+    }
+
+    void answered(GrantIdentifier grant, UpstreamOutcome outcome) {
+        post(new SidecarEvent.AnswerEnded(grant, outcome));
+        if (outcome instanceof UpstreamOutcome.Answered answered && answered.status() < 500) {
+            tellOutcome(grant, new AttemptOutcome.Answered(answered.status(), answered.cost(), answered.latency()));
+        } else if (outcome instanceof UpstreamOutcome.Answered answered) {
+            tellOutcome(grant, new AttemptOutcome.UpstreamFailed(answered.status()));
+        } else {
+            tellOutcome(grant, new AttemptOutcome.Unknown(UnknownReason.UPSTREAM_CONNECTION_LOST));
+        }
+    }
+
+    private void tellOutcome(GrantIdentifier grant, AttemptOutcome outcome) {
+        VirtualRouter router = dispatchers.remove(grant);
+        AttemptIdentifier attempt = attempts.remove(grant);
+        fleet.overLink(router, this, () -> router.post(new RouterEvent.AttemptEnded(attempt, outcome)));
+    }
+
+    private void tell(NodeName router, Message message) {
+        fleet.fromSidecar(this, router, message);
+    }
+}
