Settle attempts whose sidecar is out of reach

Ruled out: asking at once when a link breaks (the answer may still come over its own connection); treating a begun attempt as unknown while its answer can come.

--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/FairnessScenario.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/FairnessScenario.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -35,12 +36,20 @@
     private final FairnessPolicy policy;
     private final Duration sharing;
     private final boolean shared;
+    private final Consumer<VirtualFleet> disturbance;
     private final SplittableRandom random = new SplittableRandom(SEED);
 
     public FairnessScenario(FairnessPolicy policy, Duration sharing, boolean shared) {
+        this(policy, sharing, shared, fleet -> {});
+    }
+
+    /** A scenario with something that happens while it is measured. */
+    public FairnessScenario(
+            FairnessPolicy policy, Duration sharing, boolean shared, Consumer<VirtualFleet> disturbance) {
         this.policy = policy;
         this.sharing = sharing;
         this.shared = shared;
+        this.disturbance = disturbance;
     }
 
     /**
@@ -112,6 +121,7 @@
                     .sum();
             busy[1] += (double) SIDECARS * WARM;
         });
+        disturbance.accept(fleet);
         fleet.time().runFor(MEASURED);
         int dispatched = fleet.counts().getOrDefault("dispatched", 0);
         int returned = fleet.counts().entrySet().stream()
--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/VirtualFleet.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/VirtualFleet.java
@@ -17,7 +17,6 @@
 import org.sassafrastrail.fairness.LeastServicePolicy;
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.model.NodeName;
-import org.sassafrastrail.model.RefusalReason;
 import org.sassafrastrail.model.RequestIdentifier;
 import org.sassafrastrail.model.Revision;
 import org.sassafrastrail.model.TargetName;
@@ -42,6 +41,8 @@
     private static final Duration LATENCY = Duration.ofMillis(1);
 
     private final VirtualTime time = new VirtualTime();
+    private final SessionLog log = new SessionLog(time.now());
+    private final VirtualTable table = new VirtualTable();
     private final Duration token;
     private final List<VirtualRouter> routers = new ArrayList<>();
     private final Map<NodeName, VirtualSidecar> sidecars = new LinkedHashMap<>();
@@ -66,6 +67,14 @@
         return time;
     }
 
+    public SessionLog log() {
+        return log;
+    }
+
+    public VirtualTable table() {
+        return table;
+    }
+
     Duration token() {
         return token;
     }
@@ -167,21 +176,15 @@
         service.merge(request.account(), tokens, Long::sum);
     }
 
-    void waited(RouterRequest request) {
+    void dispatched(RouterRequest request, VirtualSidecar sidecar) {
+        count("dispatched");
+        count("dispatched to " + sidecar.profile().version());
         longestWaits.merge(
                 request.account().value(),
                 request.age(time.now()),
                 (first, second) -> first.compareTo(second) > 0 ? first : second);
     }
 
-    void finished(RequestIdentifier request) {
-        ended(request, "finished");
-    }
-
-    void refused(RequestIdentifier request, RefusalReason reason) {
-        ended(request, "refused " + reason);
-    }
-
     void ended(RequestIdentifier request, String how) {
         String before = endings.put(request, how);
         if (before != null) {
@@ -233,6 +236,16 @@
                 .forEach(router -> connect(router, sidecar));
     }
 
+    void connectAll(VirtualRouter router) {
+        sidecars.values().stream()
+                .filter(sidecar -> !cuts.contains(link(router, sidecar)))
+                .forEach(sidecar -> connect(router, sidecar));
+    }
+
+    void disconnectAll(VirtualRouter router) {
+        sidecars.values().forEach(sidecar -> sidecar.post(new SidecarEvent.RouterDisconnected(router.node(), 1)));
+    }
+
     void disconnectAll(VirtualSidecar sidecar) {
         routers.forEach(
                 router -> router.post(new RouterEvent.SidecarDisconnected(sidecar.node(), sidecar.incarnation())));
@@ -272,12 +285,9 @@
         time.after(LATENCY, work);
     }
 
-    void keep(VirtualSidecar sidecar, SidecarEvent event) {
-        kept.computeIfAbsent(sidecar, node -> new ArrayList<>()).add(() -> sidecar.post(event));
-    }
-
-    void keep(VirtualRouter router, RouterEvent event) {
-        kept.computeIfAbsent(router, node -> new ArrayList<>()).add(() -> router.post(event));
+    /** Keeps what a frozen node has to do until it thaws. */
+    void keep(Object node, Runnable work) {
+        kept.computeIfAbsent(node, frozen -> new ArrayList<>()).add(work);
     }
 
     void thaw(Object node) {
--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/VirtualRouter.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/VirtualRouter.java
@@ -1,10 +1,25 @@
 package org.sassafrastrail.acceptance.fleet;
 
+import java.time.Duration;
+import java.util.Optional;
+
 import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.model.Incarnation;
 import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.platform.ControllerLeases;
+import org.sassafrastrail.platform.MoveRecords;
 import org.sassafrastrail.rollout.BaselineFaultDetector;
+import org.sassafrastrail.rollout.ControllerLease;
+import org.sassafrastrail.rollout.PacedRolloutPolicy;
+import org.sassafrastrail.rollout.RolloutAction;
+import org.sassafrastrail.rollout.RolloutCore;
+import org.sassafrastrail.rollout.RolloutEvent;
 import org.sassafrastrail.router.core.BudgetedRetryPolicy;
 import org.sassafrastrail.router.core.JitteredBackoff;
+import org.sassafrastrail.router.core.NodeAction;
+import org.sassafrastrail.router.core.NodeCore;
+import org.sassafrastrail.router.core.NodeEvent;
+import org.sassafrastrail.router.core.NodeState;
 import org.sassafrastrail.router.core.RouterAction;
 import org.sassafrastrail.router.core.RouterCore;
 import org.sassafrastrail.router.core.RouterEvent;
@@ -12,24 +27,41 @@
 import org.sassafrastrail.router.core.RouterTimings;
 import org.sassafrastrail.sidecar.core.SidecarEvent;
 
-/** A router core in memory. */
+/** The cores of a router's process in memory. */
 public final class VirtualRouter {
 
     private static final long SEED = 7;
+    private static final long LEAST_EVIDENCE = 10;
+    private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
+    private static final Duration LONGEST_STEP = Duration.ofSeconds(10);
+    private static final Duration LEASE = Duration.ofSeconds(5);
 
     private final VirtualFleet fleet;
     private final String name;
-    private final RouterCore core;
-    private RouterState state;
+    private final NodeCore core;
+    private final MoveRecords moves;
+    private ControllerLeases leases;
+    private NodeState state;
+    private long incarnation;
     private boolean frozen;
 
     VirtualRouter(VirtualFleet fleet, String name, RouterTimings timings) {
         this.fleet = fleet;
         this.name = name;
-        this.core = new RouterCore(timings, new BaselineFaultDetector());
-        this.state = RouterState.start(
-                new BudgetedRetryPolicy(new JitteredBackoff(SEED, java.time.Duration.ofMillis(50))),
+        this.core = new NodeCore(
+                new RouterCore(timings, new BaselineFaultDetector()),
+                new RolloutCore(new PacedRolloutPolicy(LEAST_EVIDENCE, LONGEST_STEP), new BaselineFaultDetector()));
+        this.moves = new MoveRecords(fleet.table());
+        startCore();
+    }
+
+    private void startCore() {
+        incarnation++;
+        leases = new ControllerLeases(fleet.table(), node(), new Incarnation(incarnation), LEASE);
+        RouterState router = RouterState.start(
+                new BudgetedRetryPolicy(new JitteredBackoff(SEED, FIRST_BACKOFF)),
                 fleet.time().now());
+        state = NodeState.start(router, fleet.time().now());
     }
 
     public NodeName node() {
@@ -37,9 +69,22 @@
     }
 
     public RouterState state() {
-        return state;
+        return state.router();
+    }
+
+    /** Whether this router holds the controller's lease, as far as it knows. */
+    public boolean controls() {
+        return state.rollout().lease().isPresent();
     }
 
+    /** Loses its memory and starts anew. */
+    public void restart() {
+        fleet.disconnectAll(this);
+        startCore();
+        fleet.connectAll(this);
+    }
+
+    /** Stops or goes on handling events, like a frozen process. */
     public void freeze(boolean next) {
         frozen = next;
         if (!next) {
@@ -48,25 +93,61 @@
     }
 
     public void post(RouterEvent event) {
+        post(new NodeEvent.OfRouter(event));
+    }
+
+    private void post(NodeEvent event) {
         if (frozen) {
-            fleet.keep(this, event);
+            fleet.keep(this, () -> post(event));
             return;
         }
-        Transition<RouterState, RouterAction> transition =
+        if (event instanceof NodeEvent.OfRouter router) {
+            fleet.log().event(fleet.time().now(), node(), router.event());
+        }
+        Transition<NodeState, NodeAction> transition =
                 core.handle(state, event, fleet.time().now());
         state = transition.state();
         transition.actions().forEach(this::carryOut);
     }
 
+    private void carryOut(NodeAction action) {
+        if (action instanceof NodeAction.OfRouter router) {
+            fleet.log().action(fleet.time().now(), node(), router.action());
+            carryOut(router.action());
+        } else {
+            RolloutAction wanted = ((NodeAction.OfRollout) action).action();
+            fleet.later(() -> carryOut(wanted));
+        }
+    }
+
+    private void carryOut(RolloutAction action) {
+        if (frozen) {
+            fleet.keep(this, () -> carryOut(action));
+        } else if (action instanceof RolloutAction.SeekLease) {
+            Optional<ControllerLease> lease = leases.seek(fleet.time().now())
+                    .map(holding -> new ControllerLease(holding.fence(), holding.until()));
+            post(new NodeEvent.OfRollout(new RolloutEvent.LeaseAnswered(lease)));
+        } else if (action instanceof RolloutAction.ReadStep read) {
+            moves.read(read.move()).ifPresent(this::recorded);
+        } else if (action instanceof RolloutAction.RecordStep step) {
+            fleet.count("steps proposed");
+            moves.record(step.step(), step.rowVersion()).ifPresent(this::recorded);
+        }
+    }
+
+    private void recorded(MoveRecords.Recorded recorded) {
+        post(new NodeEvent.OfRollout(new RolloutEvent.StepAnswered(recorded.progress(), recorded.rowVersion())));
+    }
+
     private void carryOut(RouterAction action) {
         if (action instanceof RouterAction.Tell tell) {
             fleet.fromRouter(this, tell.sidecar(), tell.message());
         } else if (action instanceof RouterAction.Dispatch dispatch) {
             dispatch(dispatch);
         } else if (action instanceof RouterAction.Refuse refuse) {
-            fleet.refused(refuse.request(), refuse.reason());
+            fleet.ended(refuse.request(), "refused " + refuse.reason());
         } else if (action instanceof RouterAction.Finished finished) {
-            fleet.finished(finished.request().identifier());
+            fleet.ended(finished.request().identifier(), "finished");
         } else if (action instanceof RouterAction.AnswerUnknown unknown) {
             fleet.ended(unknown.request(), "unknown " + unknown.reason());
         } else if (action instanceof RouterAction.AnswerFailed failed) {
@@ -83,9 +164,8 @@
     }
 
     private void dispatch(RouterAction.Dispatch dispatch) {
-        fleet.count("dispatched");
-        fleet.waited(dispatch.request());
         VirtualSidecar sidecar = fleet.sidecar(dispatch.grant().sidecar());
+        fleet.dispatched(dispatch.request(), sidecar);
         SidecarEvent.DispatchArrived event = new SidecarEvent.DispatchArrived(
                 dispatch.attempt(),
                 dispatch.grant(),
--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/VirtualSidecar.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/VirtualSidecar.java
@@ -119,9 +119,10 @@
 
     public void post(SidecarEvent event) {
         if (frozen) {
-            fleet.keep(this, event);
+            fleet.keep(this, () -> post(event));
             return;
         }
+        fleet.log().event(fleet.time().now(), node(), event);
         Transition<SidecarState, SidecarAction> transition =
                 core.handle(state, event, fleet.time().now());
         state = transition.state();
@@ -135,6 +136,7 @@
     }
 
     private void carryOut(SidecarAction action) {
+        fleet.log().action(fleet.time().now(), node(), action);
         if (action instanceof SidecarAction.Tell tell) {
             tell(tell.router(), tell.message());
         } else if (action instanceof SidecarAction.Begin begin) {
--- a/router-core/src/main/java/org/sassafrastrail/router/core/AttemptHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/AttemptHandler.java
@@ -38,47 +38,65 @@
                 .orElse(Transition.stay(state));
     }
 
+    /** No answer can come any more, so only the sidecar can tell what became of the attempt. */
     Transition<RouterState, RouterAction> lost(RouterState state, RouterEvent.AttemptLost event, Instant now) {
         return current(state, event.attempt())
-                .map(running -> lost(state, running, now))
+                .map(running -> ask(state, running.disconnected(), now))
                 .orElse(Transition.stay(state));
     }
 
+    /** A sidecar has been silent for too long. An attempt that may be repeated goes elsewhere; else the router asks. */
+    Transition<RouterState, RouterAction> silent(RouterState state, RunningRequest running, Instant now) {
+        Transition<RouterState, RouterAction> asked = ask(state, running, now);
+        return isRepeatable(running) ? asked.then(new RouterAction.Abandon(running.attempt())) : asked;
+    }
+
     /** The sidecar answered what became of an attempt. */
     Transition<RouterState, RouterAction> reported(RouterState state, AttemptReport report, Instant now) {
         Optional<RunningRequest> running = current(state, report.attempt())
                 .filter(candidate -> candidate.questionEnds().isPresent());
-        return running.map(asked -> settle(state, asked, outcome(report.state()), now))
-                .orElse(Transition.stay(state));
+        return running.map(asked -> reported(state, asked, report.state(), now)).orElse(Transition.stay(state));
     }
 
-    /** A sidecar's life has ended; questions to it will never be answered. */
-    Transition<RouterState, RouterAction> lifeEnded(RouterState state, RunningRequest running, Instant now) {
-        AttemptOutcome unknown = new AttemptOutcome.Unknown(UnknownReason.SIDECAR_RESTARTED);
-        return settle(state, running, unknown, now);
+    private Transition<RouterState, RouterAction> reported(
+            RouterState state, RunningRequest running, AttemptReport.State report, Instant now) {
+        boolean answerMayCome = report == AttemptReport.State.BEGUN && running.connected();
+        return answerMayCome
+                ? Transition.stay(put(state, running.unquestioned()))
+                : giveUp(state, running, outcome(report), now);
     }
 
-    /** A sidecar has been silent for too long. */
-    Transition<RouterState, RouterAction> silent(RouterState state, RunningRequest running, Instant now) {
-        return lost(state, running, now).then(new RouterAction.Abandon(running.attempt()));
+    /** A sidecar's life has ended; questions to it will never be answered. */
+    Transition<RouterState, RouterAction> lifeEnded(RouterState state, RunningRequest running, Instant now) {
+        return giveUp(state, running, new AttemptOutcome.Unknown(UnknownReason.SIDECAR_RESTARTED), now);
     }
 
     /** Nobody answered the question in time. */
     Transition<RouterState, RouterAction> questionEnded(RouterState state, RunningRequest running, Instant now) {
-        return settle(state, running, new AttemptOutcome.Unknown(UnknownReason.SIDECAR_SILENT), now);
+        return giveUp(state, running, new AttemptOutcome.Unknown(UnknownReason.SIDECAR_SILENT), now);
     }
 
-    private Transition<RouterState, RouterAction> lost(RouterState state, RunningRequest running, Instant now) {
-        if (running.questionEnds().isPresent()) {
-            return Transition.stay(state);
-        }
-        if (running.waiting().request().repeatable()) {
+    private Transition<RouterState, RouterAction> giveUp(
+            RouterState state, RunningRequest running, AttemptOutcome outcome, Instant now) {
+        Transition<RouterState, RouterAction> settled = settle(state, running, outcome, now);
+        return running.connected() ? settled.then(new RouterAction.Abandon(running.attempt())) : settled;
+    }
+
+    private Transition<RouterState, RouterAction> ask(RouterState state, RunningRequest running, Instant now) {
+        if (isRepeatable(running)) {
             return settle(state, running, new AttemptOutcome.Unknown(UnknownReason.SIDECAR_SILENT), now);
         }
+        if (running.questionEnds().isPresent()) {
+            return Transition.stay(put(state, running));
+        }
         RunningRequest asked = running.questioned(now.plus(timings.question()));
         return Transition.<RouterState, RouterAction>stay(put(state, asked)).then(question(asked));
     }
 
+    private static boolean isRepeatable(RunningRequest running) {
+        return running.waiting().request().repeatable();
+    }
+
     RouterAction question(RunningRequest running) {
         return new RouterAction.Tell(running.sidecar(), new AttemptQuery(running.attempt(), running.grant()));
     }
--- a/router-core/src/main/java/org/sassafrastrail/router/core/GrantHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/GrantHandler.java
@@ -34,7 +34,7 @@
     private Transition<RouterState, RouterAction> dispatch(
             RouterState state, SidecarLink link, GrantOffer offer, WaitingRequest waiting) {
         RouterRequest request = waiting.request();
-        RunningRequest running = new RunningRequest(waiting.attempted(), offer.grant(), false, Optional.empty());
+        RunningRequest running = RunningRequest.dispatched(waiting.attempted(), offer.grant());
         RouterState next = state.with(state.queues().minus(waiting))
                 .withRunning(state.running().plus(request.identifier(), running))
                 .with(eligibility.counted(state, link.profile()));
--- a/router-core/src/main/java/org/sassafrastrail/router/core/LinkHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/LinkHandler.java
@@ -3,6 +3,8 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.sassafrastrail.decision.Transition;
 import org.sassafrastrail.messages.AttemptReport;
@@ -14,6 +16,7 @@
 import org.sassafrastrail.messages.MoveUpdate;
 import org.sassafrastrail.messages.RulesAnnouncement;
 import org.sassafrastrail.messages.RulesRequest;
+import org.sassafrastrail.model.NodeName;
 import org.sassafrastrail.model.Revision;
 import org.sassafrastrail.model.TargetName;
 
@@ -49,7 +52,21 @@
         boolean current = Optional.ofNullable(state.sidecars().get(event.node()))
                 .filter(link -> link.incarnation().equals(event.incarnation()))
                 .isPresent();
-        return Transition.stay(current ? state.withSidecars(state.sidecars().minus(event.node())) : state);
+        RouterState without = state.withSidecars(state.sidecars().minus(event.node()));
+        return Transition.stay(current ? unlink(without, event.node(), now) : state);
+    }
+
+    private static RouterState unlink(RouterState state, NodeName sidecar, Instant now) {
+        return state.withRunning(state.running()
+                .plusAll(running(state, sidecar)
+                        .collect(Collectors.toMap(
+                                running -> running.waiting().request().identifier(),
+                                running -> running.unlinked(now)))));
+    }
+
+    private static Stream<RunningRequest> running(RouterState state, NodeName sidecar) {
+        return state.running().values().stream()
+                .filter(running -> running.sidecar().equals(sidecar));
     }
 
     Transition<RouterState, RouterAction> said(RouterState state, RouterEvent.SidecarSaid event, Instant now) {
@@ -101,10 +118,9 @@
                 : List.of(new RulesRequest(revision), moves, ledger);
     }
 
+    /** Asks again what became of attempts at this sidecar, unless its new life can't know. */
     private Transition<RouterState, RouterAction> askAgain(RouterState state, SidecarLink link, Instant now) {
-        return state.running().values().stream()
-                .filter(running -> running.sidecar().equals(link.node()))
-                .filter(running -> running.questionEnds().isPresent())
+        return running(state, link.node())
                 .reduce(
                         Transition.<RouterState, RouterAction>stay(state),
                         (sofar, running) -> sofar.and(next -> askAgain(next, link, running, now)),
@@ -113,8 +129,14 @@
 
     private Transition<RouterState, RouterAction> askAgain(
             RouterState state, SidecarLink link, RunningRequest running, Instant now) {
-        return running.grant().incarnation().equals(link.incarnation())
-                ? Transition.<RouterState, RouterAction>stay(state).then(attempts.question(running))
-                : attempts.lifeEnded(state, running, now);
+        boolean sameLife = running.grant().incarnation().equals(link.incarnation());
+        if (!sameLife && !running.answering()) {
+            return attempts.lifeEnded(state, running, now);
+        }
+        RunningRequest linked = running.linked();
+        RouterState next = state.withRunning(
+                state.running().plus(linked.waiting().request().identifier(), linked));
+        Transition<RouterState, RouterAction> stay = Transition.stay(next);
+        return linked.questionEnds().isPresent() ? stay.then(attempts.question(linked)) : stay;
     }
 }
--- a/router-core/src/main/java/org/sassafrastrail/router/core/RequestQueues.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/RequestQueues.java
@@ -18,6 +18,9 @@
 /** The waiting requests, oldest first, in one queue for each client account and model or service. */
 public final class RequestQueues {
 
+    /** More waiting requests than these tell a sidecar nothing more. */
+    static final int MOST_TOLD = 64;
+
     static final RequestQueues EMPTY = new RequestQueues(HashTreePMap.empty());
 
     private final PMap<LedgerKey, PVector<WaitingRequest>> queues;
@@ -74,9 +77,11 @@
                 .findFirst();
     }
 
+    /** Counts what waits for a sidecar, but no further than it is any use to the sidecar. */
     int waiting(LedgerKey key, NodeName sidecar, Instant now) {
         return (int) queue(key).stream()
                 .filter(waiting -> waiting.suits(sidecar, now))
+                .limit(MOST_TOLD)
                 .count();
     }
 
--- a/router-core/src/main/java/org/sassafrastrail/router/core/RunningRequest.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/RunningRequest.java
@@ -13,10 +13,21 @@
  * @param waiting the request, with this attempt counted
  * @param grant the grant that the attempt was sent with
  * @param answering whether bytes of the answer have reached the caller
+ * @param connected whether the answer can still come
+ * @param unlinkedSince since when there is no link to the sidecar; empty while there is one
  * @param questionEnds when the router stops asking the sidecar what became of the attempt; empty if it does not ask
  */
 public record RunningRequest(
-        WaitingRequest waiting, GrantIdentifier grant, boolean answering, Optional<Instant> questionEnds) {
+        WaitingRequest waiting,
+        GrantIdentifier grant,
+        boolean answering,
+        boolean connected,
+        Optional<Instant> unlinkedSince,
+        Optional<Instant> questionEnds) {
+
+    static RunningRequest dispatched(WaitingRequest waiting, GrantIdentifier grant) {
+        return new RunningRequest(waiting, grant, false, true, Optional.empty(), Optional.empty());
+    }
 
     AttemptIdentifier attempt() {
         return new AttemptIdentifier(waiting.request().identifier(), waiting.attempts());
@@ -27,10 +38,26 @@
     }
 
     RunningRequest answered() {
-        return new RunningRequest(waiting, grant, true, questionEnds);
+        return new RunningRequest(waiting, grant, true, connected, unlinkedSince, questionEnds);
+    }
+
+    RunningRequest disconnected() {
+        return new RunningRequest(waiting, grant, answering, false, unlinkedSince, questionEnds);
+    }
+
+    RunningRequest unlinked(Instant since) {
+        return new RunningRequest(waiting, grant, answering, connected, Optional.of(since), questionEnds);
+    }
+
+    RunningRequest linked() {
+        return new RunningRequest(waiting, grant, answering, connected, Optional.empty(), questionEnds);
     }
 
     RunningRequest questioned(Instant until) {
-        return new RunningRequest(waiting, grant, answering, Optional.of(until));
+        return new RunningRequest(waiting, grant, answering, connected, unlinkedSince, Optional.of(until));
+    }
+
+    RunningRequest unquestioned() {
+        return new RunningRequest(waiting, grant, answering, connected, unlinkedSince, Optional.empty());
     }
 }
--- a/router-core/src/main/java/org/sassafrastrail/router/core/TickHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/TickHandler.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
 
@@ -74,13 +75,17 @@
                 state.running().values().stream()
                         .filter(running -> !running.answering())
                         .filter(running -> running.questionEnds().isEmpty())
-                        .filter(running -> isSilent(state, running.sidecar(), now)),
+                        .filter(running -> isSilent(state, running, now)),
                 (next, running) -> attempts.silent(next, running, now));
     }
 
-    private boolean isSilent(RouterState state, NodeName sidecar, Instant now) {
-        SidecarLink link = state.sidecars().get(sidecar);
-        return link != null && Duration.between(link.heardAt(), now).compareTo(timings.silence()) > 0;
+    private boolean isSilent(RouterState state, RunningRequest running, Instant now) {
+        Optional<Instant> heardAt =
+                Optional.ofNullable(state.sidecars().get(running.sidecar())).map(SidecarLink::heardAt);
+        return running.unlinkedSince()
+                .or(() -> heardAt)
+                .filter(last -> Duration.between(last, now).compareTo(timings.silence()) > 0)
+                .isPresent();
     }
 
     private Transition<RouterState, RouterAction> share(RouterState state, Instant now) {
