Keep the controller's lease through an unanswered renewal

Cause: VersionMoveTest.lostAnswersToWritesDoNotStopAMove failed first: a renewal whose answer was lost dropped the lease and all that the controller knew, so the wait for the next step began anew every two seconds and the move missed its due time. Ruled out: renewing less often (the loss only gets rarer). Before: RUNNING at the due time; after: DONE.

--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/VirtualRouter.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/VirtualRouter.java
@@ -1,7 +1,6 @@
 package org.sassafrastrail.acceptance.fleet;
 
 import java.time.Duration;
-import java.util.Optional;
 
 import org.sassafrastrail.decision.Transition;
 import org.sassafrastrail.model.Incarnation;
@@ -124,9 +123,7 @@
         if (frozen) {
             fleet.keep(this, () -> carryOut(action));
         } else if (action instanceof RolloutAction.SeekLease) {
-            Optional<ControllerLease> lease = leases.seek(fleet.time().now())
-                    .map(holding -> new ControllerLease(holding.fence(), holding.until()));
-            post(new NodeEvent.OfRollout(new RolloutEvent.LeaseAnswered(lease)));
+            seekLease();
         } else if (action instanceof RolloutAction.ReadStep read) {
             moves.read(read.move()).ifPresent(this::recorded);
         } else if (action instanceof RolloutAction.RecordStep step) {
@@ -135,6 +132,17 @@
         }
     }
 
+    private void seekLease() {
+        ControllerLeases.Seeking seeking = leases.seek(fleet.time().now());
+        if (seeking instanceof ControllerLeases.Seeking.Held held) {
+            ControllerLease lease = new ControllerLease(held.fence(), held.until());
+            post(new NodeEvent.OfRollout(new RolloutEvent.LeaseHeld(lease)));
+        }
+        if (seeking instanceof ControllerLeases.Seeking.HeldByOther) {
+            post(new NodeEvent.OfRollout(new RolloutEvent.LeaseHeldByOther()));
+        }
+    }
+
     private void recorded(MoveRecords.Recorded recorded) {
         post(new NodeEvent.OfRollout(new RolloutEvent.StepAnswered(recorded.progress(), recorded.rowVersion())));
     }
--- a/rollout-core/src/main/java/org/sassafrastrail/rollout/RolloutCore.java
+++ b/rollout-core/src/main/java/org/sassafrastrail/rollout/RolloutCore.java
@@ -37,8 +37,12 @@
                         RolloutEvent.Knowledge.class,
                         (state, event, now) -> Transition.<RolloutState, RolloutAction>stay(state.with(event)))
                 .on(
-                        RolloutEvent.LeaseAnswered.class,
-                        (state, event, now) -> Transition.<RolloutState, RolloutAction>stay(state.with(event.lease())))
+                        RolloutEvent.LeaseHeld.class,
+                        (state, event, now) ->
+                                Transition.<RolloutState, RolloutAction>stay(state.holding(event.lease())))
+                .on(
+                        RolloutEvent.LeaseHeldByOther.class,
+                        (state, event, now) -> Transition.<RolloutState, RolloutAction>stay(state.withoutLease()))
                 .on(RolloutEvent.StepAnswered.class, this::stepAnswered)
                 .complete();
     }
--- a/rollout-core/src/main/java/org/sassafrastrail/rollout/RolloutEvent.java
+++ b/rollout-core/src/main/java/org/sassafrastrail/rollout/RolloutEvent.java
@@ -1,7 +1,5 @@
 package org.sassafrastrail.rollout;
 
-import java.util.Optional;
-
 import org.sassafrastrail.messages.MoveProgress;
 import org.sassafrastrail.rules.RuleSet;
 
@@ -21,11 +19,14 @@
     record Knowledge(RuleSet rules, EvidenceLedger evidence, MoveBoard board) implements RolloutEvent {}
 
     /**
-     * The platform's table answered about the lease.
+     * This node holds the lease.
      *
-     * @param lease the lease if this node holds it
+     * @param lease the lease
      */
-    record LeaseAnswered(Optional<ControllerLease> lease) implements RolloutEvent {}
+    record LeaseHeld(ControllerLease lease) implements RolloutEvent {}
+
+    /** Another node holds the lease. */
+    record LeaseHeldByOther() implements RolloutEvent {}
 
     /**
      * The platform's table recorded a step, or held another controller's step instead.
--- a/rollout-core/src/main/java/org/sassafrastrail/rollout/RolloutState.java
+++ b/rollout-core/src/main/java/org/sassafrastrail/rollout/RolloutState.java
@@ -27,9 +27,13 @@
         return new RolloutState(next, lease, records);
     }
 
-    RolloutState with(Optional<ControllerLease> next) {
-        boolean sameHolder = next.map(ControllerLease::fence).equals(lease.map(ControllerLease::fence));
-        return new RolloutState(knowledge, next, sameHolder ? records : HashTreePMap.empty());
+    RolloutState holding(ControllerLease next) {
+        boolean sameFence = lease.filter(known -> known.fence() == next.fence()).isPresent();
+        return new RolloutState(knowledge, Optional.of(next), sameFence ? records : HashTreePMap.empty());
+    }
+
+    RolloutState withoutLease() {
+        return new RolloutState(knowledge, Optional.empty(), HashTreePMap.empty());
     }
 
     RolloutState with(MoveIdentifier move, MoveRecord next) {
--- a/router/src/main/java/org/sassafrastrail/router/PlatformWork.java
+++ b/router/src/main/java/org/sassafrastrail/router/PlatformWork.java
@@ -121,9 +121,14 @@
     }
 
     private void seekLease() {
-        Optional<ControllerLease> lease =
-                leases.seek(clock.instant()).map(holding -> new ControllerLease(holding.fence(), holding.until()));
-        control.accept(new NodeEvent.OfRollout(new RolloutEvent.LeaseAnswered(lease)));
+        ControllerLeases.Seeking seeking = leases.seek(clock.instant());
+        if (seeking instanceof ControllerLeases.Seeking.Held held) {
+            ControllerLease lease = new ControllerLease(held.fence(), held.until());
+            control.accept(new NodeEvent.OfRollout(new RolloutEvent.LeaseHeld(lease)));
+        }
+        if (seeking instanceof ControllerLeases.Seeking.HeldByOther) {
+            control.accept(new NodeEvent.OfRollout(new RolloutEvent.LeaseHeldByOther()));
+        }
     }
 
     private void recorded(MoveRecords.Recorded recorded) {
