Prove kills, freezes, lost answers and outages with real processes

Cause: promises that only a process can break were not tried on one: kill -9, SIGSTOP, SIGTERM, a platform that is down or loses answers, operators racing. A router with empty memory could not find sidecars while the platform was down; settings now name a few to begin with.

--- /dev/null
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/process/ProcessFleet.java
@@ -0,0 +1,268 @@
+package org.sassafrastrail.acceptance.process;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.sassafrastrail.operator.OperatorSettings;
+import org.sassafrastrail.router.RouterSettings;
+import org.sassafrastrail.rules.KeyDigest;
+import org.sassafrastrail.sidecar.SidecarSettings;
+import org.sassafrastrail.standins.StandInSettings;
+
+/**
+ * Two routers, a sidecar beside each of two booking desks and one beside a model engine, and the stand-ins, all as
+ * processes.
+ */
+public final class ProcessFleet implements AutoCloseable {
+
+    public static final String HOST = "127.0.0.1";
+    public static final String KEY = "guest-key";
+
+    private static final String LINK_KEY = "test-link-key";
+    private static final Duration GENEROUS = Duration.ofSeconds(40);
+    private static final Duration POLL = Duration.ofMillis(50);
+    private static final int DESKS = 2;
+
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final Path folder;
+    private final Map<String, ProgramProcess> processes = new HashMap<>();
+    private final Map<String, Path> settings = new HashMap<>();
+    private final int platformPort = freePort();
+    private final int enginePort = freePort();
+    private final List<Integer> deskPorts = new ArrayList<>();
+    private final List<Integer> routerPorts = List.of(freePort(), freePort());
+    private final List<Integer> controlPorts =
+            IntStream.range(0, DESKS + 1).mapToObj(number -> freePort()).toList();
+    private final HttpProbe http = new HttpProbe();
+
+    public ProcessFleet(long callMilliseconds) {
+        try {
+            folder = Files.createTempDirectory("fleet");
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+        IntStream.range(0, DESKS).forEach(number -> deskPorts.add(freePort()));
+        write("standins", standIns(callMilliseconds));
+        launch("standin", "standins");
+        IntStream.range(0, DESKS).forEach(number -> sidecar("desk-" + number, "desk", deskPorts.get(number), number));
+        sidecar("engine-0", "legend", enginePort, DESKS);
+        IntStream.range(0, routerPorts.size()).forEach(this::router);
+        write("operator", operator());
+        until(() -> answers(platformPort, "/vms"));
+        String applied = command("rules", "apply", rules(text()));
+        if (!applied.contains("accepted")) {
+            throw new IllegalStateException(applied);
+        }
+        awaitLinked();
+    }
+
+    /** Waits until every router has a configuration and links to all sidecars. */
+    public void awaitLinked() {
+        routerPorts.forEach(
+                port -> until(() -> http.get(port, "/ready", Map.of()).contains("true")));
+        routerPorts.forEach(port -> until(() -> http.status(port, LINK_KEY).contains("engine-0")
+                && http.status(port, LINK_KEY).contains("desk-0")
+                && http.status(port, LINK_KEY).contains("desk-1")));
+    }
+
+    public static String text() {
+        return "service desk version v1 cold 2 warm 4 repeat no # test\n"
+                + "model legend version v1 cold 2 warm 8 repeat yes # test\n"
+                + "domain d0 in # test\ndomain d1 in # test\ndomain d2 in # test\n"
+                + "account guest weight 1 queue 100 key " + KeyDigest.of(KEY).text() + " # test\n";
+    }
+
+    private StandInSettings standIns(long callMilliseconds) {
+        List<StandInSettings.VmSettings> vms = IntStream.range(0, DESKS + 1)
+                .mapToObj(number ->
+                        new StandInSettings.VmSettings(name(number), "sidecar", HOST, controlPorts.get(number), false))
+                .toList();
+        return new StandInSettings(
+                HOST,
+                List.of(new StandInSettings.PlatformSettings(platformPort, vms)),
+                List.of(new StandInSettings.EngineSettings(enginePort, 2, 8, 3, 5, 300)),
+                deskPorts.stream()
+                        .map(port -> new StandInSettings.ServiceSettings(port, callMilliseconds))
+                        .toList(),
+                "WARN");
+    }
+
+    private static String name(int number) {
+        return number < DESKS ? "desk-" + number : "engine-0";
+    }
+
+    private void sidecar(String node, String target, int upstreamPort, int number) {
+        write(
+                node,
+                new SidecarSettings(
+                        node,
+                        HOST,
+                        controlPorts.get(number),
+                        freePort(),
+                        LINK_KEY,
+                        target,
+                        "v1",
+                        "d" + number,
+                        HOST,
+                        upstreamPort,
+                        "additive",
+                        "INFO"));
+        launch("sidecar", node);
+    }
+
+    private void router(int number) {
+        List<String> seeds =
+                controlPorts.stream().map(port -> HOST + ":" + port).toList();
+        String node = "router-" + number;
+        write(
+                node,
+                new RouterSettings(
+                        node,
+                        HOST,
+                        routerPorts.get(number),
+                        LINK_KEY,
+                        HOST,
+                        platformPort,
+                        500,
+                        seeds,
+                        64,
+                        10_000,
+                        100_000,
+                        number,
+                        "INFO"));
+        launch("router", node);
+    }
+
+    private OperatorSettings operator() {
+        return new OperatorSettings(
+                "tester",
+                LINK_KEY,
+                HOST,
+                platformPort,
+                1000,
+                routerPorts.stream().map(port -> HOST + ":" + port).toList());
+    }
+
+    private void write(String name, Object content) {
+        try {
+            Path file = folder.resolve(name + ".json");
+            mapper.writeValue(file.toFile(), content);
+            settings.put(name, file);
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    private void launch(String program, String name) {
+        processes.put(
+                name, ProgramProcess.start(folder, program, settings.get(name).toString()));
+    }
+
+    /** Starts a program anew, with empty memory. */
+    public void relaunch(String program, String name) {
+        launch(program, name);
+    }
+
+    public ProgramProcess process(String name) {
+        return processes.get(name);
+    }
+
+    public HttpProbe http() {
+        return http;
+    }
+
+    public int routerPort(int number) {
+        return routerPorts.get(number);
+    }
+
+    public int controlPort(int number) {
+        return controlPorts.get(number);
+    }
+
+    /** Writes a rule file and returns its path. */
+    public String rules(String text) {
+        try {
+            return Files.writeString(Files.createTempFile(folder, "rules", ".txt"), text)
+                    .toString();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    /** Runs an operators' command and returns what it printed. */
+    public String command(String... words) {
+        ProgramProcess command = startCommand(words);
+        command.exitCode();
+        return command.output();
+    }
+
+    public ProgramProcess startCommand(String... words) {
+        List<String> arguments = new ArrayList<>(List.of(words));
+        arguments.add("--settings");
+        arguments.add(settings.get("operator").toString());
+        return ProgramProcess.start(folder, arguments.toArray(String[]::new));
+    }
+
+    public void misbehavePlatform(String json) {
+        http.post(platformPort, "/misbehave", json, Map.of());
+    }
+
+    public void misbehaveDesks(String json) {
+        deskPorts.forEach(port -> http.post(port, "/misbehave", json, Map.of()));
+    }
+
+    public void misbehaveEngine(String json) {
+        http.post(enginePort, "/misbehave", json, Map.of());
+    }
+
+    /** How often a request ran, over both desks. */
+    public int runs(String identifier) {
+        return deskPorts.stream().mapToInt(port -> http.runs(port, identifier)).sum();
+    }
+
+    /** How many requests ran at one desk. */
+    public int runsAt(int desk) {
+        return http.allRuns(deskPorts.get(desk));
+    }
+
+    public static void until(BooleanSupplier condition) {
+        Instant end = Instant.now().plus(GENEROUS);
+        while (!condition.getAsBoolean()) {
+            if (Instant.now().isAfter(end)) {
+                throw new AssertionError("the condition did not come about in " + GENEROUS);
+            }
+            LockSupport.parkNanos(POLL.toNanos());
+        }
+    }
+
+    private boolean answers(int port, String path) {
+        return http.answers(port, path);
+    }
+
+    private static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    @Override
+    public void close() {
+        processes.values().forEach(ProgramProcess::thaw);
+        processes.values().forEach(ProgramProcess::kill);
+    }
+}
--- a/router/src/main/java/org/sassafrastrail/router/RouterDaemon.java
+++ b/router/src/main/java/org/sassafrastrail/router/RouterDaemon.java
@@ -90,7 +90,10 @@
                 settings.platformPort(),
                 Duration.ofMillis(settings.platformPatienceMilliseconds()));
         SidecarLinks links = new SidecarLinks(
-                new HttpVmList(caller, address), new RendezvousSelection(node, settings.linkLimit()), this::post);
+                new HttpVmList(caller, address),
+                new RendezvousSelection(node, settings.linkLimit()),
+                settings.seedSidecars(),
+                this::post);
         links.use(linkSettings(node, incarnation, links, metrics));
         PlatformWork platform = platformWork(caller, address, node, incarnation, clock);
         Dispatcher dispatcher = new Dispatcher(calls, links, caller, threads, this::post, metrics, settings.linkKey());
--- a/router/src/main/java/org/sassafrastrail/router/RouterSettings.java
+++ b/router/src/main/java/org/sassafrastrail/router/RouterSettings.java
@@ -1,5 +1,7 @@
 package org.sassafrastrail.router;
 
+import java.util.List;
+
 /**
  * The settings of a router.
  *
@@ -10,6 +12,8 @@
  * @param platformHost the platform's address
  * @param platformPort the platform's port
  * @param platformPatienceMilliseconds how long an answer of the platform may take
+ * @param seedSidecars sidecars to link to while the platform's list has not been read, each as address and port with a
+ *     colon between
  * @param linkLimit how many sidecars it links to at most
  * @param callerPatienceMilliseconds how long a request waits if its caller does not say
  * @param largestBodyBytes the largest body of a request
@@ -24,6 +28,7 @@
         String platformHost,
         int platformPort,
         long platformPatienceMilliseconds,
+        List<String> seedSidecars,
         int linkLimit,
         long callerPatienceMilliseconds,
         int largestBodyBytes,
--- a/router/src/main/java/org/sassafrastrail/router/SidecarLinks.java
+++ b/router/src/main/java/org/sassafrastrail/router/SidecarLinks.java
@@ -28,15 +28,17 @@
 
     private final VmList list;
     private final LinkSelection selection;
+    private final List<Place> seeds;
     private final Consumer<RouterEvent> control;
     private final Map<Place, LinkDialer> dialers = new ConcurrentHashMap<>();
     private final Map<NodeName, Link> links = new ConcurrentHashMap<>();
     private final Map<NodeName, Endpoint> endpoints = new ConcurrentHashMap<>();
     private volatile LinkSettings settings;
 
-    SidecarLinks(VmList list, LinkSelection selection, Consumer<RouterEvent> control) {
+    SidecarLinks(VmList list, LinkSelection selection, List<String> seeds, Consumer<RouterEvent> control) {
         this.list = list;
         this.selection = selection;
+        this.seeds = seeds.stream().map(Place::parse).toList();
         this.control = control;
     }
 
@@ -49,6 +51,11 @@
         static Place of(VmEntry entry) {
             return new Place(entry.host(), entry.port());
         }
+
+        static Place parse(String text) {
+            int colon = text.lastIndexOf(':');
+            return new Place(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        }
     }
 
     void use(LinkSettings shared) {
@@ -57,7 +64,7 @@
 
     @Override
     public void start() {
-        // The first refresh dials.
+        seeds.forEach(place -> dialers.computeIfAbsent(place, this::dial));
     }
 
     /** Looks at the platform's list. A VM that has left the list keeps its link until the link itself ends. */
