Ask again about an attempt whose answer may have been lost

Cause: the golden session 'link cut after the dispatch' never ended: the sidecar said that the attempt had begun, and the router waited for an answer that the cut had swallowed. Ruled out: calling a begun attempt unknown at once (its answer may be under way).

--- /dev/null
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/sessions/SessionNamer.java
@@ -0,0 +1,47 @@
+package org.sassafrastrail.acceptance.sessions;
+
+import java.io.File;
+
+import org.approvaltests.namer.ApprovalNamer;
+
+/** Names the file of a transcript after its scenario. */
+final class SessionNamer implements ApprovalNamer {
+
+    private static final String FOLDER = "src/test/resources/sessions/";
+
+    private final String name;
+
+    SessionNamer(String name) {
+        this.name = name;
+    }
+
+    @Override
+    public String getApprovalName() {
+        return name;
+    }
+
+    @Override
+    public String getSourceFilePath() {
+        return FOLDER;
+    }
+
+    @Override
+    public File getApprovedFile(String extension) {
+        return new File(FOLDER + name + ".approved" + extension);
+    }
+
+    @Override
+    public File getReceivedFile(String extension) {
+        return new File(FOLDER + name + ".received" + extension);
+    }
+
+    @Override
+    public ApprovalNamer addAdditionalInformation(String information) {
+        return this;
+    }
+
+    @Override
+    public String getAdditionalInformation() {
+        return "";
+    }
+}
--- a/messages/src/main/java/org/sassafrastrail/messages/AttemptReport.java
+++ b/messages/src/main/java/org/sassafrastrail/messages/AttemptReport.java
@@ -14,8 +14,10 @@
     public enum State {
         /** It never began and never will. */
         NOT_BEGUN,
-        /** It began; whether the upstream finished it is not known. */
-        BEGUN,
+        /** The upstream runs it. */
+        RUNNING,
+        /** It began and has ended; its answer was sent or lost. */
+        ENDED,
         /** An earlier life of the sidecar may have begun it. */
         FORGOTTEN
     }
--- a/router-core/src/main/java/org/sassafrastrail/router/core/AttemptHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/AttemptHandler.java
@@ -60,10 +60,14 @@
 
     private Transition<RouterState, RouterAction> reported(
             RouterState state, RunningRequest running, AttemptReport.State report, Instant now) {
-        boolean answerMayCome = report == AttemptReport.State.BEGUN && running.connected();
-        return answerMayCome
-                ? Transition.stay(put(state, running.unquestioned()))
-                : giveUp(state, running, outcome(report), now);
+        if (!running.connected()) {
+            return giveUp(state, running, outcome(report), now);
+        }
+        return switch (report) {
+            case RUNNING -> Transition.stay(put(state, running.stillRunning(now)));
+            case ENDED -> Transition.stay(state);
+            default -> giveUp(state, running, outcome(report), now);
+        };
     }
 
     /** A sidecar's life has ended; questions to it will never be answered. */
@@ -151,7 +155,7 @@
     private static AttemptOutcome outcome(AttemptReport.State state) {
         return switch (state) {
             case NOT_BEGUN -> new AttemptOutcome.NotRun(NotRunReason.NEVER_ARRIVED);
-            case BEGUN -> new AttemptOutcome.Unknown(UnknownReason.UPSTREAM_CONNECTION_LOST);
+            case RUNNING, ENDED -> new AttemptOutcome.Unknown(UnknownReason.UPSTREAM_CONNECTION_LOST);
             case FORGOTTEN -> new AttemptOutcome.Unknown(UnknownReason.SIDECAR_RESTARTED);
         };
     }
--- a/router-core/src/main/java/org/sassafrastrail/router/core/LinkHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/LinkHandler.java
@@ -53,15 +53,15 @@
                 .filter(link -> link.incarnation().equals(event.incarnation()))
                 .isPresent();
         RouterState without = state.withSidecars(state.sidecars().minus(event.node()));
-        return Transition.stay(current ? unlink(without, event.node(), now) : state);
+        return Transition.stay(current ? doubt(without, event.node(), now) : state);
     }
 
-    private static RouterState unlink(RouterState state, NodeName sidecar, Instant now) {
+    private static RouterState doubt(RouterState state, NodeName sidecar, Instant now) {
         return state.withRunning(state.running()
                 .plusAll(running(state, sidecar)
                         .collect(Collectors.toMap(
                                 running -> running.waiting().request().identifier(),
-                                running -> running.unlinked(now)))));
+                                running -> running.doubted(now)))));
     }
 
     private static Stream<RunningRequest> running(RouterState state, NodeName sidecar) {
@@ -133,10 +133,7 @@
         if (!sameLife && !running.answering()) {
             return attempts.lifeEnded(state, running, now);
         }
-        RunningRequest linked = running.linked();
-        RouterState next = state.withRunning(
-                state.running().plus(linked.waiting().request().identifier(), linked));
-        Transition<RouterState, RouterAction> stay = Transition.stay(next);
-        return linked.questionEnds().isPresent() ? stay.then(attempts.question(linked)) : stay;
+        Transition<RouterState, RouterAction> stay = Transition.stay(state);
+        return running.questionEnds().isPresent() ? stay.then(attempts.question(running)) : stay;
     }
 }
--- a/router-core/src/main/java/org/sassafrastrail/router/core/RunningRequest.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/RunningRequest.java
@@ -14,7 +14,7 @@
  * @param grant the grant that the attempt was sent with
  * @param answering whether bytes of the answer have reached the caller
  * @param connected whether the answer can still come
- * @param unlinkedSince since when there is no link to the sidecar; empty while there is one
+ * @param doubtedSince since when the router doubts that the answer will come, because a link broke; empty if it does not
  * @param questionEnds when the router stops asking the sidecar what became of the attempt; empty if it does not ask
  */
 public record RunningRequest(
@@ -22,7 +22,7 @@
         GrantIdentifier grant,
         boolean answering,
         boolean connected,
-        Optional<Instant> unlinkedSince,
+        Optional<Instant> doubtedSince,
         Optional<Instant> questionEnds) {
 
     static RunningRequest dispatched(WaitingRequest waiting, GrantIdentifier grant) {
@@ -38,26 +38,23 @@
     }
 
     RunningRequest answered() {
-        return new RunningRequest(waiting, grant, true, connected, unlinkedSince, questionEnds);
+        return new RunningRequest(waiting, grant, true, connected, doubtedSince, questionEnds);
     }
 
     RunningRequest disconnected() {
-        return new RunningRequest(waiting, grant, answering, false, unlinkedSince, questionEnds);
+        return new RunningRequest(waiting, grant, answering, false, doubtedSince, questionEnds);
     }
 
-    RunningRequest unlinked(Instant since) {
+    RunningRequest doubted(Instant since) {
         return new RunningRequest(waiting, grant, answering, connected, Optional.of(since), questionEnds);
     }
 
-    RunningRequest linked() {
-        return new RunningRequest(waiting, grant, answering, connected, Optional.empty(), questionEnds);
-    }
-
     RunningRequest questioned(Instant until) {
-        return new RunningRequest(waiting, grant, answering, connected, unlinkedSince, Optional.of(until));
+        return new RunningRequest(waiting, grant, answering, connected, doubtedSince, Optional.of(until));
     }
 
-    RunningRequest unquestioned() {
-        return new RunningRequest(waiting, grant, answering, connected, unlinkedSince, Optional.empty());
+    /** The sidecar runs it still; the router asks again after a while, in case the answer can't come. */
+    RunningRequest stillRunning(Instant now) {
+        return new RunningRequest(waiting, grant, answering, connected, Optional.of(now), Optional.empty());
     }
 }
--- a/router-core/src/main/java/org/sassafrastrail/router/core/TickHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/TickHandler.java
@@ -82,7 +82,7 @@
     private boolean isSilent(RouterState state, RunningRequest running, Instant now) {
         Optional<Instant> heardAt =
                 Optional.ofNullable(state.sidecars().get(running.sidecar())).map(SidecarLink::heardAt);
-        return running.unlinkedSince()
+        return running.doubtedSince()
                 .or(() -> heardAt)
                 .filter(last -> Duration.between(last, now).compareTo(timings.silence()) > 0)
                 .isPresent();
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/BegunAttempts.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/BegunAttempts.java
@@ -30,9 +30,10 @@
         return new BegunAttempts(begun.minus(sequence - REMEMBERED), sequence);
     }
 
+    /** Tells what became of the attempt of a grant that is not running. */
     AttemptReport.State state(GrantIdentifier grant) {
         if (begun.containsKey(grant.sequence())) {
-            return AttemptReport.State.BEGUN;
+            return AttemptReport.State.ENDED;
         }
         boolean remembered = grant.sequence() > newest - REMEMBERED;
         return remembered ? AttemptReport.State.NOT_BEGUN : AttemptReport.State.FORGOTTEN;
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/DispatchHandler.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/DispatchHandler.java
@@ -76,7 +76,7 @@
     Transition<SidecarState, SidecarAction> asked(SidecarState state, NodeName router, AttemptQuery query) {
         boolean mine = query.grant().sidecar().equals(identity.node())
                 && query.grant().incarnation().equals(identity.incarnation());
-        AttemptReport.State answer = mine ? state.work().begun().state(query.grant()) : AttemptReport.State.FORGOTTEN;
+        AttemptReport.State answer = mine ? state.work().state(query.grant()) : AttemptReport.State.FORGOTTEN;
         return Transition.<SidecarState, SidecarAction>stay(withdraw(state, query.grant()))
                 .then(new SidecarAction.Tell(router, new AttemptReport(query.attempt(), answer)));
     }
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/SidecarState.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/SidecarState.java
@@ -6,6 +6,7 @@
 import org.pcollections.PMap;
 import org.sassafrastrail.fairness.CostEstimator;
 import org.sassafrastrail.fairness.ServiceLedger;
+import org.sassafrastrail.messages.AttemptReport;
 import org.sassafrastrail.model.GrantIdentifier;
 import org.sassafrastrail.model.NodeName;
 import org.sassafrastrail.model.Revision;
@@ -70,6 +71,10 @@
             BegunAttempts begun,
             long lastSequence) {
 
+        AttemptReport.State state(GrantIdentifier grant) {
+            return running.containsKey(grant) ? AttemptReport.State.RUNNING : begun.state(grant);
+        }
+
         int size() {
             return grants.size() + running.size();
         }
