Merge ledger entries one after the other

Cause: ServiceLedgerTest.repeatsAndReorderingDoNoHarm failed first: news was judged against the ledger before the whole batch, so an older entry behind a newer one in the same batch won.

--- /dev/null
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/ArchitectureTest.java
@@ -0,0 +1,102 @@
+package org.sassafrastrail.acceptance;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.fields;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+/** Holds the shape of the code: decisions know nothing of the world, and dependencies point one way. */
+@AnalyzeClasses(packages = "org.sassafrastrail", importOptions = ImportOption.DoNotIncludeTests.class)
+class ArchitectureTest {
+
+    private static final String ROOT = "org.sassafrastrail.";
+    private static final String[] CORES = {
+        ROOT + "model..",
+        ROOT + "decision..",
+        ROOT + "rules..",
+        ROOT + "fairness..",
+        ROOT + "messages..",
+        ROOT + "rollout..",
+        ROOT + "router.core..",
+        ROOT + "sidecar.core.."
+    };
+
+    @ArchTest
+    static final ArchRule DECISIONS_KNOW_ONLY_VALUES = classes()
+            .that()
+            .resideInAnyPackage(CORES)
+            .should()
+            .onlyDependOnClassesThat()
+            .resideInAnyPackage(concat(
+                    CORES,
+                    "java.lang..",
+                    "java.util",
+                    "java.util.function",
+                    "java.util.regex",
+                    "java.util.stream",
+                    "java.time..",
+                    "java.nio",
+                    "java.nio.charset",
+                    "java.security",
+                    "org.pcollections"));
+
+    @ArchTest
+    static final ArchRule DECISIONS_READ_NO_CLOCK_AND_DRAW_NO_CHANCE = noClasses()
+            .that()
+            .resideInAnyPackage(CORES)
+            .should()
+            .callMethod(java.time.Instant.class, "now")
+            .orShould()
+            .callMethod(System.class, "currentTimeMillis")
+            .orShould()
+            .callMethod(System.class, "nanoTime")
+            .orShould()
+            .dependOnClassesThat()
+            .areAssignableTo(Thread.class)
+            .orShould()
+            .dependOnClassesThat()
+            .areAssignableTo(java.util.Random.class);
+
+    @ArchTest
+    static final ArchRule STATE_IS_IMMUTABLE = fields().that()
+            .areDeclaredInClassesThat()
+            .resideInAnyPackage(
+                    ROOT + "model..",
+                    ROOT + "decision..",
+                    ROOT + "fairness..",
+                    ROOT + "messages..",
+                    ROOT + "rollout..",
+                    ROOT + "router.core..",
+                    ROOT + "sidecar.core..")
+            .should()
+            .beFinal();
+
+    @ArchTest
+    static final ArchRule DEPENDENCIES_HAVE_NO_CYCLES =
+            slices().matching("org.sassafrastrail.(**)").should().beFreeOfCycles();
+
+    @ArchTest
+    static final ArchRule ONLY_THE_WIRE_KNOWS_MESSAGE_PACK = noClasses()
+            .that()
+            .resideOutsideOfPackage(ROOT + "wire..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage("org.msgpack..");
+
+    @ArchTest
+    static final ArchRule NOBODY_SPINS = noClasses()
+            .should()
+            .callMethod(Thread.class, "onSpinWait")
+            .orShould()
+            .callMethod(Thread.class, "yield");
+
+    private static String[] concat(String[] first, String... second) {
+        return java.util.stream.Stream.concat(java.util.Arrays.stream(first), java.util.Arrays.stream(second))
+                .toArray(String[]::new);
+    }
+}
--- a/fairness/src/main/java/org/sassafrastrail/fairness/ServiceLedger.java
+++ b/fairness/src/main/java/org/sassafrastrail/fairness/ServiceLedger.java
@@ -40,7 +40,7 @@
      * @return the merged ledger
      */
     public ServiceLedger merge(Collection<LedgerEntry> entries) {
-        return entries.stream().filter(this::isNews).reduce(this, ServiceLedger::put, (first, second) -> second);
+        return entries.stream().reduce(this, ServiceLedger::putNews, (first, second) -> second);
     }
 
     /**
@@ -97,6 +97,10 @@
                 .toList();
     }
 
+    private ServiceLedger putNews(LedgerEntry entry) {
+        return isNews(entry) ? put(entry) : this;
+    }
+
     private boolean isNews(LedgerEntry entry) {
         LedgerEntry known = account(entry.key()).entries().get(entry.writer());
         return known == null || known.version() < entry.version();
--- a/rollout-core/src/main/java/org/sassafrastrail/rollout/EvidenceLedger.java
+++ b/rollout-core/src/main/java/org/sassafrastrail/rollout/EvidenceLedger.java
@@ -34,7 +34,7 @@
      * @return the merged ledger
      */
     public EvidenceLedger merge(Collection<EvidenceEntry> news) {
-        return news.stream().filter(this::isNews).reduce(this, EvidenceLedger::put, (first, second) -> second);
+        return news.stream().reduce(this, EvidenceLedger::putNews, (first, second) -> second);
     }
 
     /**
@@ -102,6 +102,10 @@
                 .filter(entry -> entry.version().equals(version));
     }
 
+    private EvidenceLedger putNews(EvidenceEntry entry) {
+        return isNews(entry) ? put(entry) : this;
+    }
+
     private boolean isNews(EvidenceEntry entry) {
         EvidenceEntry known = entries.get(Place.of(entry));
         return Objects.isNull(known) || known.attempts() < entry.attempts();
--- /dev/null
+++ b/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
@@ -0,0 +1,116 @@
+package org.sassafrastrail.wire;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.sassafrastrail.fairness.LedgerEntry;
+import org.sassafrastrail.fairness.LedgerKey;
+import org.sassafrastrail.fairness.LedgerWriter;
+import org.sassafrastrail.messages.AccountDemand;
+import org.sassafrastrail.messages.AttemptQuery;
+import org.sassafrastrail.messages.AttemptReport;
+import org.sassafrastrail.messages.Demand;
+import org.sassafrastrail.messages.EvidenceEntry;
+import org.sassafrastrail.messages.EvidenceUpdate;
+import org.sassafrastrail.messages.GrantOffer;
+import org.sassafrastrail.messages.GrantReturn;
+import org.sassafrastrail.messages.Heartbeat;
+import org.sassafrastrail.messages.Hello;
+import org.sassafrastrail.messages.LedgerUpdate;
+import org.sassafrastrail.messages.Message;
+import org.sassafrastrail.messages.MoveProgress;
+import org.sassafrastrail.messages.MoveUpdate;
+import org.sassafrastrail.messages.RulesAnnouncement;
+import org.sassafrastrail.messages.RulesRequest;
+import org.sassafrastrail.messages.Suspension;
+import org.sassafrastrail.messages.UpstreamEndpoint;
+import org.sassafrastrail.model.AccountName;
+import org.sassafrastrail.model.AttemptIdentifier;
+import org.sassafrastrail.model.FailureDomainName;
+import org.sassafrastrail.model.GrantIdentifier;
+import org.sassafrastrail.model.GrantReturnReason;
+import org.sassafrastrail.model.Incarnation;
+import org.sassafrastrail.model.MoveIdentifier;
+import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.model.RequestIdentifier;
+import org.sassafrastrail.model.Revision;
+import org.sassafrastrail.model.TargetName;
+import org.sassafrastrail.model.UpstreamProfile;
+import org.sassafrastrail.model.VersionName;
+import org.sassafrastrail.rules.RuleDocument;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class MessagePackCodecTest {
+
+    private static final Instant TIME = Instant.parse("2026-12-04T10:00:00.123Z");
+    private static final NodeName NODE = new NodeName("sidecar-1");
+    private static final Incarnation LIFE = new Incarnation(1_770_000_000_000L);
+    private static final LedgerWriter WRITER = new LedgerWriter(NODE, LIFE);
+    private static final TargetName TARGET = new TargetName("report");
+    private static final VersionName VERSION = new VersionName("v1");
+    private static final MoveIdentifier MOVE = new MoveIdentifier(TARGET, VERSION, new VersionName("v2"), TIME);
+    private static final GrantIdentifier GRANT = new GrantIdentifier(NODE, LIFE, 77);
+    private static final AttemptIdentifier ATTEMPT = new AttemptIdentifier(new RequestIdentifier("request-1"), 2);
+
+    private final MessagePackCodec codec = new MessagePackCodec();
+
+    static Stream<Message> messages() {
+        UpstreamProfile profile = new UpstreamProfile(TARGET, VERSION, new FailureDomainName("north"));
+        return Stream.of(
+                new Hello(1, "key", NODE, LIFE, Optional.of(new UpstreamEndpoint(profile, 8080))),
+                new Hello(1, "key", NODE, LIFE, Optional.empty()),
+                new Demand(List.of(new AccountDemand(new AccountName("kitchen"), 3, 100, 20))),
+                new GrantOffer(GRANT, new AccountName("kitchen"), 1000),
+                new GrantReturn(GRANT, GrantReturnReason.NO_DEMAND),
+                new AttemptQuery(ATTEMPT, GRANT),
+                new AttemptReport(ATTEMPT, AttemptReport.State.ENDED),
+                new LedgerUpdate(
+                        List.of(new LedgerEntry(WRITER, new LedgerKey(TARGET, new AccountName("kitchen")), 5, -3, 9))),
+                new EvidenceUpdate(List.of(new EvidenceEntry(WRITER, MOVE, VERSION, "tell", 9, 8.5, 1.5, 120.25))),
+                new MoveUpdate(
+                        List.of(MoveProgress.start(MOVE)), List.of(new Suspension(MOVE, MoveProgress.Reason.FAILING))),
+                new Heartbeat(new Revision(4), 1, 2, true),
+                new RulesRequest(Revision.NONE),
+                new RulesAnnouncement(new RuleDocument(new Revision(4), "domain a in # x\n", "karin", TIME)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("messages")
+    void decodesWhatItEncodes(Message message) {
+        byte[] content = codec.encode(message);
+        System.out.println("encoded bytes with frame header "
+                + message.getClass().getSimpleName() + " " + (content.length + Frames.HEADER));
+
+        assertThat(codec.decode(content)).isEqualTo(new Decoding.Decoded(message));
+    }
+
+    @Test
+    void everyKindOfMessageHasANumber() {
+        assertThat(Stream.of(Message.class.getPermittedSubclasses()))
+                .allSatisfy(type -> assertThat(MessageKind.values())
+                        .anyMatch(kind -> kind.type().equals(type)));
+    }
+
+    @Test
+    void saysWhyItCannotDecode() {
+        assertThat(codec.decode(new byte[0])).isEqualTo(new Decoding.Rejected(LinkClosure.UNKNOWN_KIND));
+        assertThat(codec.decode(new byte[] {99, 1})).isEqualTo(new Decoding.Rejected(LinkClosure.UNKNOWN_KIND));
+        assertThat(codec.decode(new byte[] {2, (byte) 0xc1})).isEqualTo(new Decoding.Rejected(LinkClosure.MALFORMED));
+    }
+
+    @Test
+    void noTruncatedMessageDoesHarm() {
+        messages().map(codec::encode).forEach(content -> {
+            for (int length = 0; length < content.length; length++) {
+                byte[] cut = java.util.Arrays.copyOf(content, length);
+                assertThat(codec.decode(cut)).isInstanceOf(Decoding.class);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/wire/src/test/java/org/sassafrastrail/wire/SocketLinkTest.java
@@ -0,0 +1,151 @@
+package org.sassafrastrail.wire;
+
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sassafrastrail.messages.Hello;
+import org.sassafrastrail.messages.Message;
+import org.sassafrastrail.messages.RulesRequest;
+import org.sassafrastrail.model.Incarnation;
+import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.model.Revision;
+import org.sassafrastrail.runtime.EventLog;
+import org.sassafrastrail.runtime.Metrics;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Bad input on a link closes that link with a counted reason and disturbs nothing else. */
+class SocketLinkTest {
+
+    private static final int PORT_SEARCH = 0;
+    private static final long WAIT_SECONDS = 10;
+
+    private final MessagePackCodec codec = new MessagePackCodec();
+    private final MetricRegistry registry = new MetricRegistry();
+    private final BlockingQueue<Message> received = new LinkedBlockingQueue<>();
+    private int port;
+    private LinkServer server;
+
+    @BeforeEach
+    void startServer() throws IOException {
+        try (java.net.ServerSocket free = new java.net.ServerSocket(PORT_SEARCH)) {
+            port = free.getLocalPort();
+        }
+        LinkSettings settings = new LinkSettings(
+                () -> hello(Hello.PROTOCOL, "key"),
+                codec,
+                new Listener(),
+                new Metrics(registry),
+                new EventLog("test"),
+                Duration.ofSeconds(2));
+        server = new LinkServer("127.0.0.1", port, settings);
+        server.start();
+    }
+
+    @AfterEach
+    void stopServer() {
+        server.stop();
+    }
+
+    private static Hello hello(int protocol, String key) {
+        return new Hello(protocol, key, new NodeName("peer"), new Incarnation(1), Optional.empty());
+    }
+
+    private void closesWith(LinkClosure reason, Input input) throws IOException, InterruptedException {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            input.write(new DataOutputStream(socket.getOutputStream()));
+            if (reason != LinkClosure.FRAME_CUT) {
+                socket.getInputStream().readAllBytes();
+            }
+        }
+        String name = "link-closures." + reason.name().toLowerCase(java.util.Locale.ROOT);
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        while (registry.counter(name).getCount() == 0 && System.nanoTime() < end) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        assertThat(registry.counter(name).getCount())
+                .as(registry.getCounters().toString())
+                .isEqualTo(1);
+        assertStillServes();
+    }
+
+    private void assertStillServes() throws IOException, InterruptedException {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            DataOutputStream output = new DataOutputStream(socket.getOutputStream());
+            Frames.write(output, codec.encode(hello(Hello.PROTOCOL, "key")));
+            Frames.write(output, codec.encode(new RulesRequest(Revision.NONE)));
+            assertThat(received.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo(new RulesRequest(Revision.NONE));
+        }
+    }
+
+    @Test
+    void aFrameOverTheLimit() throws Exception {
+        closesWith(LinkClosure.FRAME_TOO_LARGE, output -> output.writeInt(Frames.LARGEST + 1));
+    }
+
+    @Test
+    void aFrameThatIsCut() throws Exception {
+        closesWith(LinkClosure.FRAME_CUT, output -> {
+            output.writeInt(100);
+            output.write(new byte[10]);
+        });
+    }
+
+    @Test
+    void aKindOfMessageThatNobodyKnows() throws Exception {
+        closesWith(LinkClosure.UNKNOWN_KIND, output -> Frames.write(output, new byte[] {99}));
+    }
+
+    @Test
+    void aNewerProtocol() throws Exception {
+        closesWith(
+                LinkClosure.NEWER_PROTOCOL,
+                output -> Frames.write(output, codec.encode(hello(Hello.PROTOCOL + 1, "key"))));
+    }
+
+    @Test
+    void aWrongKey() throws Exception {
+        closesWith(LinkClosure.WRONG_KEY, output -> Frames.write(output, codec.encode(hello(Hello.PROTOCOL, "guess"))));
+    }
+
+    @Test
+    void noGreeting() throws Exception {
+        closesWith(
+                LinkClosure.NO_GREETING, output -> Frames.write(output, codec.encode(new RulesRequest(Revision.NONE))));
+    }
+
+    /** Writes what a peer sends. */
+    private interface Input {
+
+        void write(DataOutputStream output) throws IOException;
+    }
+
+    /** Keeps what comes. */
+    private final class Listener implements LinkListener {
+
+        @Override
+        public void opened(Link link) {
+            // Nothing to keep.
+        }
+
+        @Override
+        public void received(Link link, Message message) {
+            received.add(message);
+        }
+
+        @Override
+        public void closed(Link link, LinkClosure reason) {
+            // Counted by the link.
+        }
+    }
+}
