Test both cores event by event

Cause: taking mechanisms out showed that several stand behind each other, so whole-fleet tests pass without one of them (a withdrawn grant, a restarted sidecar's answer, an old revision that comes back for a moment). Each now has a test of its own that drives one core. The redundant request for rules in a router's greeting is gone: the other side announces them anyway.

--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/ConfigurationTest.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/ConfigurationTest.java
@@ -83,6 +83,7 @@
         fleet.accept(RULES.replace("domain west in", "domain west out"));
         fleet.time().runFor(IN_FORCE);
         fleet.routers().forEach(router -> router.post(new RouterEvent.RulesRead(old)));
+        assertThat(revisions()).containsOnly(fleet.revision());
         fleet.time().runFor(IN_FORCE);
 
         assertThat(revisions()).containsOnly(fleet.revision());
--- a/router-core/src/main/java/org/sassafrastrail/router/core/LinkHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/LinkHandler.java
@@ -17,7 +17,6 @@
 import org.sassafrastrail.messages.RulesAnnouncement;
 import org.sassafrastrail.messages.RulesRequest;
 import org.sassafrastrail.model.NodeName;
-import org.sassafrastrail.model.Revision;
 import org.sassafrastrail.model.TargetName;
 
 /** Handles links to sidecars and what comes over them. */
@@ -112,10 +111,9 @@
         Message ledger = new LedgerUpdate(state.ledger().entries().stream()
                 .filter(entry -> entry.key().target().equals(target))
                 .toList());
-        Revision revision = state.configuration().document().revision();
         return state.configuration().present()
                 ? List.of(new RulesAnnouncement(state.configuration().document()), moves, ledger)
-                : List.of(new RulesRequest(revision), moves, ledger);
+                : List.of(moves, ledger);
     }
 
     /** Asks again what became of attempts at this sidecar, unless its new life can't know. */
--- /dev/null
+++ b/router-core/src/test/java/org/sassafrastrail/router/core/RouterCoreTest.java
@@ -0,0 +1,256 @@
+package org.sassafrastrail.router.core;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.messages.AttemptQuery;
+import org.sassafrastrail.messages.AttemptReport;
+import org.sassafrastrail.messages.GrantOffer;
+import org.sassafrastrail.messages.GrantReturn;
+import org.sassafrastrail.messages.Message;
+import org.sassafrastrail.model.AccountName;
+import org.sassafrastrail.model.AttemptIdentifier;
+import org.sassafrastrail.model.AttemptOutcome;
+import org.sassafrastrail.model.FailureDomainName;
+import org.sassafrastrail.model.GrantIdentifier;
+import org.sassafrastrail.model.GrantReturnReason;
+import org.sassafrastrail.model.Incarnation;
+import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.model.NotRunReason;
+import org.sassafrastrail.model.RefusalReason;
+import org.sassafrastrail.model.RequestIdentifier;
+import org.sassafrastrail.model.Revision;
+import org.sassafrastrail.model.TargetName;
+import org.sassafrastrail.model.UpstreamProfile;
+import org.sassafrastrail.model.VersionName;
+import org.sassafrastrail.rollout.BaselineFaultDetector;
+import org.sassafrastrail.rules.KeyDigest;
+import org.sassafrastrail.rules.RuleDocument;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RouterCoreTest {
+
+    private static final NodeName SIDECAR = new NodeName("sidecar-1");
+    private static final AccountName ACCOUNT = new AccountName("kitchen");
+    private static final RequestIdentifier REQUEST = new RequestIdentifier("request-1");
+    private static final AttemptIdentifier FIRST = new AttemptIdentifier(REQUEST, 1);
+    private static final Duration PATIENCE = Duration.ofSeconds(10);
+    private static final String IN = "service desk version v1 cold 1 warm 4 repeat no # test\n"
+            + "domain north in # test\naccount kitchen weight 1 queue 2 key "
+            + KeyDigest.of("k").text() + " # test\n";
+
+    private final RouterCore core = new RouterCore(RouterTimings.STANDARD, new BaselineFaultDetector());
+    private Instant now = Instant.parse("2026-12-04T10:00:00Z");
+    private RouterState state = RouterState.start(new BudgetedRetryPolicy(attempt -> Duration.ZERO), now);
+    private List<RouterAction> actions = List.of();
+    private long grants;
+
+    @BeforeEach
+    void linkOneSidecar() {
+        rules(1, IN);
+        post(new RouterEvent.SidecarConnected(
+                SIDECAR,
+                new Incarnation(1),
+                new UpstreamProfile(new TargetName("desk"), new VersionName("v1"), new FailureDomainName("north"))));
+    }
+
+    private void post(RouterEvent event) {
+        Transition<RouterState, RouterAction> transition = core.handle(state, event, now);
+        state = transition.state();
+        actions = transition.actions();
+    }
+
+    private void rules(long revision, String text) {
+        post(new RouterEvent.RulesRead(new RuleDocument(new Revision(revision), text, "test", now)));
+    }
+
+    private void arrive(String identifier, boolean safe, Optional<String> key) {
+        post(new RouterEvent.RequestArrived(
+                new RequestIdentifier(identifier),
+                KeyDigest.of("k"),
+                new TargetName("desk"),
+                "book",
+                safe,
+                key,
+                0,
+                PATIENCE));
+    }
+
+    private void grant() {
+        say(new GrantOffer(new GrantIdentifier(SIDECAR, new Incarnation(1), ++grants), ACCOUNT, 1000));
+    }
+
+    private void say(Message message) {
+        post(new RouterEvent.SidecarSaid(SIDECAR, message));
+    }
+
+    private Optional<RouterAction.Dispatch> dispatch() {
+        return actions.stream()
+                .filter(RouterAction.Dispatch.class::isInstance)
+                .map(RouterAction.Dispatch.class::cast)
+                .findFirst();
+    }
+
+    private List<Message> told() {
+        return actions.stream()
+                .filter(RouterAction.Tell.class::isInstance)
+                .map(action -> ((RouterAction.Tell) action).message())
+                .toList();
+    }
+
+    @Test
+    void aGrantGetsTheOldestRequest() {
+        arrive("request-1", false, Optional.empty());
+        arrive("request-2", false, Optional.empty());
+        grant();
+
+        assertThat(dispatch().orElseThrow().request().identifier()).isEqualTo(REQUEST);
+    }
+
+    @Test
+    void aGrantThatNothingWaitsForGoesBackAtOnce() {
+        grant();
+
+        assertThat(told()).hasOnlyElementsOfType(GrantReturn.class);
+        assertThat(((GrantReturn) told().get(0)).reason()).isEqualTo(GrantReturnReason.NO_DEMAND);
+    }
+
+    @Test
+    void aGrantFromADomainThatIsOutGoesBack() {
+        arrive("request-1", false, Optional.empty());
+        rules(2, IN.replace("domain north in", "domain north out"));
+        grant();
+
+        assertThat(dispatch()).isEmpty();
+        assertThat(((GrantReturn) told().get(0)).reason()).isEqualTo(GrantReturnReason.FAILURE_DOMAIN_OUT);
+    }
+
+    @Test
+    void afterAPauseGrantsGoBackUntilTheConfigurationIsConfirmed() {
+        arrive("request-1", false, Optional.empty());
+        now = now.plusSeconds(5);
+        post(new RouterEvent.Tick());
+        assertThat(actions).contains(new RouterAction.ReadRules());
+        grant();
+        assertThat(dispatch()).isEmpty();
+
+        post(new RouterEvent.RulesRead(RuleDocument.NONE));
+        grant();
+        assertThat(dispatch()).isPresent();
+    }
+
+    @Test
+    void anOlderRuleFileIsPassedOver() {
+        rules(3, IN);
+        rules(2, "");
+
+        assertThat(state.configuration().document().revision()).isEqualTo(new Revision(3));
+        assertThat(state.rules().rules()).hasSize(3);
+    }
+
+    @Test
+    void aLostUnrepeatableAttemptIsAskedAboutAndTriedAgainOnlyIfItDidNotRun() {
+        arrive("request-1", false, Optional.empty());
+        grant();
+        post(new RouterEvent.AttemptLost(FIRST));
+        assertThat(told()).hasAtLeastOneElementOfType(AttemptQuery.class);
+        grant();
+        assertThat(dispatch()).isEmpty();
+
+        say(new AttemptReport(FIRST, AttemptReport.State.NOT_BEGUN));
+        now = now.plusSeconds(1);
+        grant();
+        assertThat(dispatch().orElseThrow().attempt()).isEqualTo(new AttemptIdentifier(REQUEST, 2));
+    }
+
+    @Test
+    void aLostUnrepeatableAttemptThatBeganIsUnknown() {
+        arrive("request-1", false, Optional.empty());
+        grant();
+        post(new RouterEvent.AttemptLost(FIRST));
+        say(new AttemptReport(FIRST, AttemptReport.State.RUNNING));
+
+        assertThat(actions).hasOnlyElementsOfType(RouterAction.AnswerUnknown.class);
+    }
+
+    @Test
+    void aLateOutcomeOfAnEarlierAttemptChangesNothing() {
+        arrive("request-1", true, Optional.empty());
+        grant();
+        post(new RouterEvent.AttemptEnded(FIRST, new AttemptOutcome.NotRun(NotRunReason.GRANT_EXPIRED)));
+        now = now.plusSeconds(1);
+        grant();
+        post(new RouterEvent.AttemptEnded(FIRST, new AttemptOutcome.Answered(200, 1, Duration.ZERO)));
+
+        assertThat(actions).isEmpty();
+        assertThat(state.running()).containsKey(REQUEST);
+    }
+
+    @Test
+    void anAccountsFloodIsRefusedAsNotRun() {
+        arrive("request-1", true, Optional.empty());
+        arrive("request-2", true, Optional.empty());
+        arrive("request-3", true, Optional.empty());
+
+        assertThat(actions)
+                .containsExactly(
+                        new RouterAction.Refuse(new RequestIdentifier("request-3"), RefusalReason.ACCOUNT_QUEUE_FULL));
+    }
+
+    @Test
+    void aKeyedRequestWaitsForItsKeyAndFreesItIfItDoesNotRun() {
+        arrive("request-1", false, Optional.of("key"));
+        assertThat(actions).hasOnlyElementsOfType(RouterAction.ClaimKey.class);
+        grant();
+        assertThat(dispatch()).isEmpty();
+
+        post(new RouterEvent.KeyAnswered(REQUEST, RouterEvent.KeyAnswer.OWNED));
+        now = now.plus(PATIENCE);
+        post(new RouterEvent.Tick());
+        assertThat(actions).contains(new RouterAction.Refuse(REQUEST, RefusalReason.DEADLINE_EXCEEDED));
+        assertThat(actions).hasAtLeastOneElementOfType(RouterAction.ReleaseKey.class);
+    }
+
+    @Test
+    void aRepeatableRequestIsTriedAgainWithinItsBudget() {
+        arrive("request-1", true, Optional.empty());
+        int attempts = 0;
+        grant();
+        while (dispatch().isPresent()) {
+            attempts++;
+            AttemptIdentifier attempt = dispatch().orElseThrow().attempt();
+            post(new RouterEvent.AttemptEnded(attempt, new AttemptOutcome.UpstreamFailed(500)));
+            if (actions.stream().anyMatch(RouterAction.AnswerFailed.class::isInstance)) {
+                break;
+            }
+            now = now.plusSeconds(1);
+            grant();
+        }
+
+        assertThat(attempts).isEqualTo(8);
+        assertThat(actions).containsExactly(new RouterAction.AnswerFailed(REQUEST, 500));
+    }
+
+    @Test
+    void aStoppingRouterTakesNoNewRequestAndEndsWhenItIsIdle() {
+        arrive("request-1", true, Optional.empty());
+        post(new RouterEvent.StopRequested());
+        arrive("request-2", true, Optional.empty());
+        assertThat(actions)
+                .containsExactly(
+                        new RouterAction.Refuse(new RequestIdentifier("request-2"), RefusalReason.ROUTER_STOPPING));
+        post(new RouterEvent.Tick());
+        assertThat(actions).doesNotContain(new RouterAction.Drained());
+
+        grant();
+        post(new RouterEvent.AttemptEnded(FIRST, new AttemptOutcome.Answered(200, 1, Duration.ZERO)));
+        post(new RouterEvent.Tick());
+        assertThat(actions).contains(new RouterAction.Drained());
+    }
+}
--- /dev/null
+++ b/sidecar-core/src/test/java/org/sassafrastrail/sidecar/core/SidecarCoreTest.java
@@ -0,0 +1,203 @@
+package org.sassafrastrail.sidecar.core;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.fairness.LeastServicePolicy;
+import org.sassafrastrail.fairness.MeanCostEstimator;
+import org.sassafrastrail.messages.AccountDemand;
+import org.sassafrastrail.messages.AttemptQuery;
+import org.sassafrastrail.messages.AttemptReport;
+import org.sassafrastrail.messages.Demand;
+import org.sassafrastrail.messages.GrantOffer;
+import org.sassafrastrail.messages.RulesAnnouncement;
+import org.sassafrastrail.model.AccountName;
+import org.sassafrastrail.model.AttemptIdentifier;
+import org.sassafrastrail.model.FailureDomainName;
+import org.sassafrastrail.model.GrantIdentifier;
+import org.sassafrastrail.model.Incarnation;
+import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.model.NotRunReason;
+import org.sassafrastrail.model.RequestIdentifier;
+import org.sassafrastrail.model.Revision;
+import org.sassafrastrail.model.TargetName;
+import org.sassafrastrail.model.UpstreamProfile;
+import org.sassafrastrail.model.VersionName;
+import org.sassafrastrail.rules.KeyDigest;
+import org.sassafrastrail.rules.RuleDocument;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SidecarCoreTest {
+
+    private static final NodeName ROUTER = new NodeName("router-1");
+    private static final AccountName ACCOUNT = new AccountName("kitchen");
+    private static final AttemptIdentifier ATTEMPT = new AttemptIdentifier(new RequestIdentifier("request-1"), 1);
+    private static final String IN = "service desk version v1 cold 1 warm 4 repeat no # test\n"
+            + "domain north in # test\naccount kitchen weight 1 queue 10 key "
+            + KeyDigest.of("k").text() + " # test\n";
+
+    private final SidecarIdentity identity = new SidecarIdentity(
+            new NodeName("sidecar-1"),
+            new Incarnation(2),
+            new UpstreamProfile(new TargetName("desk"), new VersionName("v1"), new FailureDomainName("north")));
+    private final SidecarCore core = new SidecarCore(identity, new LeastServicePolicy(), SidecarTimings.STANDARD);
+    private Instant now = Instant.parse("2026-12-04T10:00:00Z");
+    private SidecarState state = SidecarState.start(new AdditiveIncreaseLimit(), new MeanCostEstimator(1), now);
+    private List<SidecarAction> actions = List.of();
+
+    @BeforeEach
+    void serveOneRouter() {
+        post(new SidecarEvent.LoadReported(1, 0, false));
+        post(new SidecarEvent.RouterConnected(ROUTER, 1));
+        rules(1, IN);
+    }
+
+    private void post(SidecarEvent event) {
+        Transition<SidecarState, SidecarAction> transition = core.handle(state, event, now);
+        state = transition.state();
+        actions = transition.actions();
+    }
+
+    private void say(org.sassafrastrail.messages.Message message) {
+        post(new SidecarEvent.RouterSaid(ROUTER, message));
+    }
+
+    private void rules(long revision, String text) {
+        say(new RulesAnnouncement(new RuleDocument(new Revision(revision), text, "test", now)));
+    }
+
+    private GrantIdentifier granted() {
+        say(new Demand(List.of(new AccountDemand(ACCOUNT, 3, 0, 0))));
+        return offer().orElseThrow().grant();
+    }
+
+    private Optional<GrantOffer> offer() {
+        return actions.stream()
+                .filter(SidecarAction.Tell.class::isInstance)
+                .map(action -> ((SidecarAction.Tell) action).message())
+                .filter(GrantOffer.class::isInstance)
+                .map(GrantOffer.class::cast)
+                .findFirst();
+    }
+
+    private void dispatch(GrantIdentifier grant) {
+        post(new SidecarEvent.DispatchArrived(ATTEMPT, grant, 0, "book"));
+    }
+
+    private void assertDeclined(NotRunReason reason) {
+        assertThat(actions).filteredOn(SidecarAction.Decline.class::isInstance).hasSize(1);
+        assertThat(actions)
+                .filteredOn(SidecarAction.Decline.class::isInstance)
+                .extracting(action -> ((SidecarAction.Decline) action).reason())
+                .containsExactly(reason);
+    }
+
+    private AttemptReport.State asked(GrantIdentifier grant) {
+        say(new AttemptQuery(ATTEMPT, grant));
+        return actions.stream()
+                .filter(SidecarAction.Tell.class::isInstance)
+                .map(action -> ((SidecarAction.Tell) action).message())
+                .filter(AttemptReport.class::isInstance)
+                .map(message -> ((AttemptReport) message).state())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    @Test
+    void aGrantBeginsOneAttemptOnly() {
+        GrantIdentifier grant = granted();
+        dispatch(grant);
+        assertThat(actions).hasAtLeastOneElementOfType(SidecarAction.Begin.class);
+
+        dispatch(grant);
+        assertDeclined(NotRunReason.GRANT_UNKNOWN);
+    }
+
+    @Test
+    void aQueriedGrantIsWithdrawnSoThatALateDispatchCannotBegin() {
+        GrantIdentifier grant = granted();
+        assertThat(asked(grant)).isEqualTo(AttemptReport.State.NOT_BEGUN);
+
+        dispatch(grant);
+        assertDeclined(NotRunReason.GRANT_UNKNOWN);
+    }
+
+    @Test
+    void aQueryTellsARunningAttemptFromAnEndedOne() {
+        GrantIdentifier grant = granted();
+        dispatch(grant);
+        assertThat(asked(grant)).isEqualTo(AttemptReport.State.RUNNING);
+
+        post(new SidecarEvent.AnswerEnded(grant, new UpstreamOutcome.Answered(200, 1, Duration.ofMillis(5))));
+        assertThat(asked(grant)).isEqualTo(AttemptReport.State.ENDED);
+    }
+
+    @Test
+    void anEarlierLifesAttemptsAreForgottenNotDenied() {
+        GrantIdentifier earlier = new GrantIdentifier(identity.node(), new Incarnation(1), 1);
+
+        assertThat(asked(earlier)).isEqualTo(AttemptReport.State.FORGOTTEN);
+    }
+
+    @Test
+    void anExpiredGrantIsRefusedAsNotRun() {
+        GrantIdentifier grant = granted();
+        now = now.plus(SidecarTimings.STANDARD.grant());
+        dispatch(grant);
+
+        assertDeclined(NotRunReason.GRANT_EXPIRED);
+    }
+
+    @Test
+    void aDomainThatGoesOutRevokesItsGrants() {
+        GrantIdentifier grant = granted();
+        rules(2, IN.replace("domain north in", "domain north out"));
+        dispatch(grant);
+
+        assertDeclined(NotRunReason.FAILURE_DOMAIN_OUT);
+        say(new Demand(List.of(new AccountDemand(ACCOUNT, 5, 0, 0))));
+        assertThat(offer()).isEmpty();
+    }
+
+    @Test
+    void aFrozenSidecarConfirmsItsConfigurationBeforeItGrants() {
+        now = now.plusSeconds(5);
+        post(new SidecarEvent.Tick());
+        say(new Demand(List.of(new AccountDemand(ACCOUNT, 3, 0, 0))));
+        assertThat(offer()).isEmpty();
+
+        rules(1, IN);
+        assertThat(offer()).isPresent();
+    }
+
+    @Test
+    void aLeavingSidecarGrantsNothing() {
+        post(new SidecarEvent.StopRequested());
+        say(new Demand(List.of(new AccountDemand(ACCOUNT, 3, 0, 0))));
+
+        assertThat(offer()).isEmpty();
+    }
+
+    @Test
+    void noMoreGrantsThanTheLimit() {
+        granted();
+        say(new Demand(List.of(new AccountDemand(ACCOUNT, 3, 0, 0))));
+
+        assertThat(offer()).isEmpty();
+    }
+
+    @Test
+    void aUnreachableUpstreamGetsNothing() {
+        post(new SidecarEvent.LoadUnavailable());
+        post(new SidecarEvent.LoadUnavailable());
+        say(new Demand(List.of(new AccountDemand(ACCOUNT, 3, 0, 0))));
+
+        assertThat(offer()).isEmpty();
+    }
+}
