--- /dev/null
+++ b/benchmarks/src/main/java/org/sassafrastrail/benchmarks/SizeReport.java
@@ -0,0 +1,67 @@
+package org.sassafrastrail.benchmarks;
+
+import java.util.List;
+import java.util.function.IntFunction;
+import java.util.stream.Stream;
+
+import org.sassafrastrail.fairness.ServiceLedger;
+import org.sassafrastrail.messages.LedgerUpdate;
+import org.sassafrastrail.messages.Message;
+import org.sassafrastrail.messages.RulesAnnouncement;
+import org.sassafrastrail.router.core.RouterCore;
+import org.sassafrastrail.wire.MessagePackCodec;
+
+/** Prints encoded sizes of messages and heap used by states, against their entries. */
+public final class SizeReport {
+
+    private static final int FRAME_HEADER_BYTES = 4;
+    private static final int COLLECTIONS = 4;
+
+    private SizeReport() {}
+
+    /**
+     * Prints the report.
+     *
+     * @param arguments not used
+     */
+    public static void main(String[] arguments) {
+        MessagePackCodec codec = new MessagePackCodec();
+        Stream.of(1, 10, 42)
+                .forEach(entries ->
+                        print(codec, "ledger-update", entries, new LedgerUpdate(Fixtures.entries(1, entries))));
+        Stream.of(1, 10, 42).forEach(accounts -> print(codec, "demand", accounts, Fixtures.demand(accounts)));
+        Stream.of(16, 420)
+                .forEach(accounts -> print(codec, "rules", accounts, new RulesAnnouncement(Fixtures.rules(accounts))));
+        RouterCore core = Fixtures.router();
+        Stream.of(100, 1000, 10_000)
+                .forEach(requests -> heap(
+                        "waiting-requests", requests, count -> Fixtures.routerState(core, 0, 42, 42, count / 42 + 1)));
+        Stream.of(420, 4200, 37_380)
+                .forEach(entries -> heap("ledger-entries", entries, count -> ServiceLedger.EMPTY
+                        .merge(Fixtures.entries(count / 42, 42))
+                        .sent()));
+    }
+
+    private static void print(MessagePackCodec codec, String name, int entries, Message message) {
+        System.out.printf(
+                "%-18s %6d entries %9d bytes%n", name, entries, codec.encode(message).length + FRAME_HEADER_BYTES);
+    }
+
+    private static void heap(String name, int entries, IntFunction<Object> build) {
+        build.apply(entries);
+        long before = used();
+        List<Object> kept = List.of(build.apply(entries));
+        long after = used();
+        System.out.printf(
+                "%-18s %6d entries %9d bytes of heap, %d an entry (%d kept)%n",
+                name, entries, after - before, (after - before) / entries, kept.size());
+    }
+
+    private static long used() {
+        Runtime runtime = Runtime.getRuntime();
+        for (int collection = 0; collection < COLLECTIONS; collection++) {
+            System.gc();
+        }
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+}
