--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/VersionMoveTest.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/VersionMoveTest.java
@@ -77,6 +77,17 @@
         assertThat(dispatchedTo("v2")).isZero();
     }
 
+    @Test
+    void theShareOfANewVersionHoldsOverTheFleet() {
+        order();
+        int oldBefore = dispatchedTo("v1");
+        fleet.time().runFor(Duration.ofSeconds(6));
+        int all = dispatchedTo("v1") - oldBefore + dispatchedTo("v2");
+
+        assertThat(recorded().share().perMille()).isBetween(1, 10);
+        assertThat(dispatchedTo("v2")).isLessThanOrEqualTo(all / 100);
+    }
+
     @Test
     void aGoodVersionFinishesByItsDueTime() {
         order();
--- /dev/null
+++ b/rollout-core/src/test/java/org/sassafrastrail/rollout/RolloutCoreTest.java
@@ -0,0 +1,108 @@
+package org.sassafrastrail.rollout;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.messages.MoveProgress;
+import org.sassafrastrail.messages.Suspension;
+import org.sassafrastrail.model.MoveIdentifier;
+import org.sassafrastrail.model.TrafficShare;
+import org.sassafrastrail.rules.RuleFileReader;
+import org.sassafrastrail.rules.RuleParsing;
+import org.sassafrastrail.rules.RuleSet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RolloutCoreTest {
+
+    private static final Instant START = Instant.parse("2026-12-04T10:00:00Z");
+    private static final TrafficShare STEP = new TrafficShare(50);
+    private static final RuleSet RULES = ((RuleParsing.Accepted) new RuleFileReader()
+                    .read("model report version v1 cold 1 warm 8 # test\n"
+                            + "move report from v1 to v2 by 2026-12-04T11:00:00Z # test\n"))
+            .rules();
+    private static final MoveIdentifier MOVE = RULES.moves().get(0).move();
+
+    private final RolloutCore core =
+            new RolloutCore(new PacedRolloutPolicy(10, Duration.ofSeconds(10)), new BaselineFaultDetector());
+    private RolloutState state = RolloutState.START;
+    private List<RolloutAction> actions = List.of();
+
+    @BeforeEach
+    void learn() {
+        post(new RolloutEvent.Knowledge(RULES, EvidenceLedger.EMPTY, MoveBoard.EMPTY), START);
+    }
+
+    private void post(RolloutEvent event, Instant now) {
+        Transition<RolloutState, RolloutAction> transition = core.handle(state, event, now);
+        state = transition.state();
+        actions = transition.actions();
+    }
+
+    private void hold(long fence) {
+        post(new RolloutEvent.LeaseHeld(new ControllerLease(fence, START.plusSeconds(5))), START);
+    }
+
+    private static MoveProgress step(long fence, int number, TrafficShare share) {
+        return new MoveProgress(MOVE, fence, number, share, MoveProgress.Verdict.RUNNING, MoveProgress.Reason.NONE);
+    }
+
+    @Test
+    void withoutTheLeaseItOnlySeeksIt() {
+        post(new RolloutEvent.Tick(), START);
+
+        assertThat(actions).containsExactly(new RolloutAction.SeekLease());
+    }
+
+    @Test
+    void aLapsedLeaseIsNoLease() {
+        hold(1);
+        post(new RolloutEvent.StepAnswered(step(1, 1, STEP), 1), START);
+        post(new RolloutEvent.Tick(), START.plusSeconds(30));
+
+        assertThat(actions).containsExactly(new RolloutAction.SeekLease());
+    }
+
+    @Test
+    void aNewHolderRecordsTheStepAnewBeforeItGoesOn() {
+        hold(2);
+        post(new RolloutEvent.StepAnswered(step(1, 4, STEP), 7), START);
+        post(new RolloutEvent.Tick(), START);
+
+        assertThat(actions).contains(new RolloutAction.RecordStep(step(2, 5, STEP), 7));
+    }
+
+    @Test
+    void aSuspendedVersionIsTakenBack() {
+        hold(1);
+        post(new RolloutEvent.StepAnswered(step(1, 2, STEP), 2), START);
+        MoveBoard board = MoveBoard.EMPTY.plus(new Suspension(MOVE, MoveProgress.Reason.SLOW));
+        post(new RolloutEvent.Knowledge(RULES, EvidenceLedger.EMPTY, board), START);
+        post(new RolloutEvent.Tick(), START);
+
+        assertThat(actions)
+                .contains(new RolloutAction.RecordStep(
+                        new MoveProgress(
+                                MOVE,
+                                1,
+                                3,
+                                TrafficShare.NONE,
+                                MoveProgress.Verdict.TAKEN_BACK,
+                                MoveProgress.Reason.SLOW),
+                        2));
+    }
+
+    @Test
+    void stepsOnlyGoForwardAndAVerdictIsFinal() {
+        MoveProgress done =
+                new MoveProgress(MOVE, 1, 3, TrafficShare.WHOLE, MoveProgress.Verdict.DONE, MoveProgress.Reason.NONE);
+        MoveBoard board = MoveBoard.EMPTY.plus(step(1, 2, STEP)).plus(step(1, 1, TrafficShare.NONE));
+
+        assertThat(board.progress(MOVE).step()).isEqualTo(2);
+        assertThat(board.plus(done).plus(step(9, 9, STEP)).progress(MOVE)).isEqualTo(done);
+    }
+}
--- a/router-core/src/main/java/org/sassafrastrail/router/core/ConfigurationHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/ConfigurationHandler.java
@@ -3,7 +3,6 @@
 import org.sassafrastrail.decision.Transition;
 import org.sassafrastrail.messages.Heartbeat;
 import org.sassafrastrail.messages.RulesAnnouncement;
-import org.sassafrastrail.messages.RulesRequest;
 import org.sassafrastrail.model.Revision;
 import org.sassafrastrail.rules.RuleDocument;
 
@@ -29,13 +28,10 @@
                 state.with(state.configuration().confirmed(state.configuration().present())));
     }
 
+    /** Whoever has the newer rule file announces it; heartbeats show who that is. */
     Transition<RouterState, RouterAction> heartbeat(RouterState state, SidecarLink link, Heartbeat heartbeat) {
         Revision known = state.configuration().document().revision();
-        Transition<RouterState, RouterAction> stay = Transition.stay(state);
-        if (heartbeat.revision().isNewerThan(known)) {
-            return stay.then(new RouterAction.Tell(link.node(), new RulesRequest(known)));
-        }
-        return known.isNewerThan(heartbeat.revision()) ? requested(state, link) : stay;
+        return known.isNewerThan(heartbeat.revision()) ? requested(state, link) : Transition.stay(state);
     }
 
     Transition<RouterState, RouterAction> requested(RouterState state, SidecarLink link) {
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/LinkHandler.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/LinkHandler.java
@@ -42,18 +42,15 @@
     Transition<SidecarState, SidecarAction> connected(
             SidecarState state, SidecarEvent.RouterConnected event, Instant now) {
         SidecarState next = state.with(state.routers().plus(event.router(), RouterDemand.none(event.link())));
-        Revision revision = state.configuration().document().revision();
-        Message rules = revision.equals(Revision.NONE)
-                ? new RulesRequest(revision)
-                : new RulesAnnouncement(state.configuration().document());
-        return tell(
-                next,
-                event.router(),
-                List.of(
-                        rules,
-                        new MoveUpdate(state.board().steps(), state.board().suspensions()),
-                        new EvidenceUpdate(state.evidence().entries()),
-                        new LedgerUpdate(state.ledger().entries())));
+        return announce(next, event.router())
+                .and(announced -> tell(
+                        announced,
+                        event.router(),
+                        List.of(
+                                new MoveUpdate(
+                                        state.board().steps(), state.board().suspensions()),
+                                new EvidenceUpdate(state.evidence().entries()),
+                                new LedgerUpdate(state.ledger().entries()))));
     }
 
     Transition<SidecarState, SidecarAction> disconnected(
@@ -136,12 +133,10 @@
                                 .toList());
     }
 
+    /** Whoever has the newer rule file announces it; heartbeats show who that is. */
     private static Transition<SidecarState, SidecarAction> heartbeat(
             SidecarState state, NodeName router, Heartbeat heartbeat) {
         Revision known = state.configuration().document().revision();
-        if (heartbeat.revision().isNewerThan(known)) {
-            return tell(state, router, List.of(new RulesRequest(known)));
-        }
         return known.isNewerThan(heartbeat.revision()) ? announce(state, router) : Transition.stay(state);
     }
 
