Tick rarely while there is no work

Cause: an idle router ticked 50 times a second. Ruled out: longer ticks at all times (they delay what waits under load).

--- a/router/src/main/java/org/sassafrastrail/router/RouterDaemon.java
+++ b/router/src/main/java/org/sassafrastrail/router/RouterDaemon.java
@@ -45,6 +45,7 @@
 import org.sassafrastrail.runtime.PeriodicTask;
 import org.sassafrastrail.runtime.Service;
 import org.sassafrastrail.runtime.Services;
+import org.sassafrastrail.runtime.Ticker;
 import org.sassafrastrail.runtime.TrafficThreads;
 import org.sassafrastrail.wire.LinkSettings;
 import org.sassafrastrail.wire.MessagePackCodec;
@@ -113,7 +114,7 @@
                 threads,
                 platform,
                 loop,
-                new PeriodicTask("tick", TICK, () -> post(new RouterEvent.Tick()), log),
+                new Ticker(TICK, this::isBusy, () -> post(new RouterEvent.Tick()), log),
                 new PeriodicTask("rules", RULES_INTERVAL, platform::readRulesNow, log),
                 links,
                 new PeriodicTask("vm-list", LIST_INTERVAL, links::refresh, log),
@@ -173,6 +174,10 @@
         return loop;
     }
 
+    private boolean isBusy() {
+        return !loop.state().router().idle();
+    }
+
     private void post(RouterEvent event) {
         loop.post(new NodeEvent.OfRouter(event));
     }
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/SidecarState.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/SidecarState.java
@@ -75,7 +75,12 @@
             return running.containsKey(grant) ? AttemptReport.State.RUNNING : begun.state(grant);
         }
 
-        int size() {
+        /**
+         * Counts grants and attempts.
+         *
+         * @return how many places of the upstream are taken
+         */
+        public int size() {
             return grants.size() + running.size();
         }
 
--- a/sidecar/src/main/java/org/sassafrastrail/sidecar/SidecarDaemon.java
+++ b/sidecar/src/main/java/org/sassafrastrail/sidecar/SidecarDaemon.java
@@ -31,6 +31,7 @@
 import org.sassafrastrail.runtime.PeriodicTask;
 import org.sassafrastrail.runtime.Service;
 import org.sassafrastrail.runtime.Services;
+import org.sassafrastrail.runtime.Ticker;
 import org.sassafrastrail.runtime.TrafficThreads;
 import org.sassafrastrail.sidecar.core.AdditiveIncreaseLimit;
 import org.sassafrastrail.sidecar.core.ConcurrencyLimit;
@@ -90,7 +91,7 @@
                 caller,
                 threads,
                 loop,
-                new PeriodicTask("tick", TICK, () -> post(new SidecarEvent.Tick()), log),
+                new Ticker(TICK, this::isBusy, () -> post(new SidecarEvent.Tick()), log),
                 new PeriodicTask("load", LOAD_INTERVAL, poller::poll, log),
                 new HttpServerService(
                         settings.host(),
@@ -146,6 +147,10 @@
         return loop;
     }
 
+    private boolean isBusy() {
+        return loop.state().work().size() > 0;
+    }
+
     private void post(SidecarEvent event) {
         loop.post(event);
     }
