--- a/router-core/src/main/java/org/sassafrastrail/router/core/RouterTimings.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/RouterTimings.java
@@ -21,6 +21,6 @@
             Duration.ofSeconds(3),
             Duration.ofSeconds(5),
             Duration.ofMillis(100),
-            Duration.ofMillis(500),
+            Duration.ofSeconds(1),
             Duration.ofMillis(500));
 }
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/SidecarTimings.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/SidecarTimings.java
@@ -19,6 +19,6 @@
             Duration.ofSeconds(1),
             Duration.ofSeconds(1),
             Duration.ofMillis(100),
-            Duration.ofMillis(500),
+            Duration.ofSeconds(1),
             Duration.ofSeconds(1));
 }
