--- a/router/src/main/java/org/sassafrastrail/router/RouterDaemon.java
+++ b/router/src/main/java/org/sassafrastrail/router/RouterDaemon.java
@@ -53,7 +53,7 @@
 /** A router: puts its parts together, starts them, and on stop answers what it has taken in before it ends. */
 public final class RouterDaemon implements Service {
 
-    private static final Duration TICK = Duration.ofMillis(20);
+    private static final Duration TICK = Duration.ofMillis(50);
     private static final Duration RULES_INTERVAL = Duration.ofSeconds(1);
     private static final Duration LIST_INTERVAL = Duration.ofSeconds(1);
     private static final Duration LEASE = Duration.ofSeconds(5);
--- a/runtime/src/main/java/org/sassafrastrail/runtime/Ticker.java
+++ b/runtime/src/main/java/org/sassafrastrail/runtime/Ticker.java
@@ -6,7 +6,7 @@
 /** Tells a control thread that time passes: often while there is work, and rarely while there is none. */
 public final class Ticker implements Service {
 
-    private static final int QUIET_FACTOR = 10;
+    private static final int QUIET_FACTOR = 5;
 
     private final PeriodicTask task;
     private final BooleanSupplier busy;
@@ -16,7 +16,7 @@
     /**
      * Makes the ticker.
      *
-     * @param interval the wait between two ticks while there is work; ten times as long while there is none
+     * @param interval the wait between two ticks while there is work; five times as long while there is none
      * @param busy tells whether there is work
      * @param tick tells the control thread
      * @param log logs ticks that failed
--- a/sidecar/src/main/java/org/sassafrastrail/sidecar/SidecarDaemon.java
+++ b/sidecar/src/main/java/org/sassafrastrail/sidecar/SidecarDaemon.java
@@ -49,7 +49,7 @@
 /** A sidecar: puts its parts together, starts them, and on stop finishes what its upstream runs before it ends. */
 public final class SidecarDaemon implements Service {
 
-    private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration TICK = Duration.ofMillis(100);
     private static final Duration LOAD_INTERVAL = Duration.ofMillis(500);
     private static final Duration CONNECT_PATIENCE = Duration.ofSeconds(2);
     private static final long FIRST_ESTIMATE_TOKENS = 50;
