--- a/router/src/main/java/org/sassafrastrail/router/Dispatcher.java
+++ b/router/src/main/java/org/sassafrastrail/router/Dispatcher.java
@@ -163,6 +163,7 @@
         answer.header("Content-Type")
                 .ifPresent(type -> exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, type));
         try {
+            exchange.startBlocking();
             copy(answer.body(), exchange.getOutputStream());
             exchange.endExchange();
             return new AttemptOutcome.Answered(answer.status(), 0, firstByte);
--- a/router/src/main/java/org/sassafrastrail/router/RouterActions.java
+++ b/router/src/main/java/org/sassafrastrail/router/RouterActions.java
@@ -5,6 +5,7 @@
 
 import org.sassafrastrail.http.Problem;
 import org.sassafrastrail.model.RequestIdentifier;
+import org.sassafrastrail.rollout.RolloutAction;
 import org.sassafrastrail.router.core.NodeAction;
 import org.sassafrastrail.router.core.RouterAction;
 import org.sassafrastrail.runtime.ActionExecutor;
@@ -41,7 +42,7 @@
     @Override
     public void carryOut(NodeAction action) {
         if (action instanceof NodeAction.OfRollout rollout) {
-            platform.carryOut(rollout.action());
+            carryOut(rollout.action());
             return;
         }
         RouterAction wanted = ((NodeAction.OfRouter) action).action();
@@ -63,6 +64,13 @@
         on(wanted, RouterAction.Drained.class, done -> drained.countDown());
     }
 
+    private void carryOut(RolloutAction action) {
+        if (action instanceof RolloutAction.Announce announce) {
+            reports.stepped(announce);
+        }
+        platform.carryOut(action);
+    }
+
     private static <A extends RouterAction> void on(RouterAction action, Class<A> kind, Consumer<A> work) {
         if (kind.isInstance(action)) {
             work.accept(kind.cast(action));
--- a/router/src/main/java/org/sassafrastrail/router/RouterDaemon.java
+++ b/router/src/main/java/org/sassafrastrail/router/RouterDaemon.java
@@ -82,7 +82,7 @@
         NodeName node = new NodeName(settings.node());
         Metrics metrics = new Metrics(new MetricRegistry());
         Explanations explanations = new Explanations(clock);
-        RouterReports reports = new RouterReports(metrics, log, explanations);
+        RouterReports reports = new RouterReports(metrics, log, explanations, clock);
         UndertowCaller caller = new UndertowCaller(CLIENT_THREADS);
         TrafficThreads threads = new TrafficThreads();
         PendingCalls calls = new PendingCalls();
--- a/router/src/main/java/org/sassafrastrail/router/RouterReports.java
+++ b/router/src/main/java/org/sassafrastrail/router/RouterReports.java
@@ -1,7 +1,11 @@
 package org.sassafrastrail.router;
 
+import java.time.Clock;
+
+import org.sassafrastrail.messages.MoveProgress;
 import org.sassafrastrail.model.RefusalReason;
 import org.sassafrastrail.model.RequestIdentifier;
+import org.sassafrastrail.rollout.RolloutAction;
 import org.sassafrastrail.router.core.RouterAction;
 import org.sassafrastrail.runtime.EventLog;
 import org.sassafrastrail.runtime.LogField;
@@ -13,11 +17,13 @@
     private final Metrics metrics;
     private final EventLog log;
     private final Explanations explanations;
+    private final Clock clock;
 
-    RouterReports(Metrics metrics, EventLog log, Explanations explanations) {
+    RouterReports(Metrics metrics, EventLog log, Explanations explanations, Clock clock) {
         this.metrics = metrics;
         this.log = log;
         this.explanations = explanations;
+        this.clock = clock;
     }
 
     EventLog log() {
@@ -49,6 +55,9 @@
 
     void dispatched(RouterAction.Dispatch action) {
         metrics.count("dispatches", 1);
+        metrics.time(
+                "wait." + action.request().account(),
+                action.request().age(clock.instant()).toNanos());
         explanations.add(
                 action.attempt().request(),
                 "dispatched",
@@ -118,4 +127,16 @@
                 LogField.of("move", action.suspension().move().label()),
                 LogField.of("reason", action.suspension().reason()));
     }
+
+    void stepped(RolloutAction.Announce action) {
+        MoveProgress step = action.step();
+        metrics.count("move-steps", step.verdict());
+        log.info(
+                "move-step",
+                LogField.of("move", step.move().label()),
+                LogField.of("step", step.step()),
+                LogField.of("share-per-mille", step.share().perMille()),
+                LogField.of("verdict", step.verdict()),
+                LogField.of("reason", step.reason()));
+    }
 }
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/SidecarState.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/SidecarState.java
@@ -1,15 +1,19 @@
 package org.sassafrastrail.sidecar.core;
 
 import java.time.Instant;
+import java.util.LongSummaryStatistics;
 
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 import org.sassafrastrail.fairness.CostEstimator;
+import org.sassafrastrail.fairness.LedgerKey;
 import org.sassafrastrail.fairness.ServiceLedger;
+import org.sassafrastrail.fairness.ServiceUnits;
 import org.sassafrastrail.messages.AttemptReport;
 import org.sassafrastrail.model.GrantIdentifier;
 import org.sassafrastrail.model.NodeName;
 import org.sassafrastrail.model.Revision;
+import org.sassafrastrail.model.TargetName;
 import org.sassafrastrail.rollout.EvidenceLedger;
 import org.sassafrastrail.rollout.MoveBoard;
 import org.sassafrastrail.rules.RuleDocument;
@@ -166,6 +170,20 @@
         return configuration.rules();
     }
 
+    /**
+     * Returns the largest difference in weighted service between two client accounts that wait, as far as heard.
+     *
+     * @param target the model or service
+     * @return tokens of an account of weight one; 0 if fewer than two accounts wait
+     */
+    public long fairnessGap(TargetName target) {
+        LongSummaryStatistics totals = routers.values().stream()
+                .flatMap(demand -> demand.accounts().keySet().stream())
+                .mapToLong(account -> ledger.total(new LedgerKey(target, account)))
+                .summaryStatistics();
+        return totals.getCount() == 0 ? 0 : (totals.getMax() - totals.getMin()) / ServiceUnits.PER_TOKEN;
+    }
+
     SidecarState with(Configuration next) {
         return new SidecarState(next, upstream, routers, work, ledger, estimator, evidence, board, lifecycle);
     }
--- a/sidecar/src/main/java/org/sassafrastrail/sidecar/SidecarDaemon.java
+++ b/sidecar/src/main/java/org/sassafrastrail/sidecar/SidecarDaemon.java
@@ -140,6 +140,7 @@
         metrics.gauge("in-flight", () -> loop.state().work().running().size());
         metrics.gauge("limit", () -> loop.state().upstream().limit().current());
         metrics.gauge("grants-made", () -> loop.state().work().lastSequence());
+        metrics.gauge("fairness-gap-tokens", () -> loop.state().fairnessGap(new TargetName(settings.target())));
         metrics.gauge("routers-linked", () -> loop.state().routers().size());
     }
 
