Send a changed rule file to each node once

Ruled out: sending differences (a node with empty memory needs the whole file). Now heartbeats, one at once after a change, say who is newer, and whoever is behind asks one peer.

--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/ConfigurationTest.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/ConfigurationTest.java
@@ -12,6 +12,7 @@
 import org.sassafrastrail.acceptance.fleet.VirtualFleet;
 import org.sassafrastrail.acceptance.fleet.VirtualRouter;
 import org.sassafrastrail.acceptance.fleet.VirtualSidecar;
+import org.sassafrastrail.messages.RulesAnnouncement;
 import org.sassafrastrail.model.Revision;
 import org.sassafrastrail.router.core.RouterEvent;
 import org.sassafrastrail.rules.RuleDocument;
@@ -53,6 +54,23 @@
         assertThat(revisions()).containsOnly(next.revision());
     }
 
+    @Test
+    void aChangeTravelsToEachNodeOnce() {
+        int[] copies = new int[1];
+        fleet.lose(message -> {
+            copies[0] += message instanceof RulesAnnouncement ? 1 : 0;
+            return false;
+        });
+        RuleDocument next = new RuleDocument(
+                fleet.revision().next(), RULES, "test", fleet.time().now());
+        fleet.routers().get(0).post(new RouterEvent.RulesRead(next));
+        fleet.time().runFor(IN_FORCE);
+
+        assertThat(revisions()).containsOnly(next.revision());
+        assertThat(copies[0])
+                .isEqualTo(fleet.routers().size() - 1 + fleet.sidecars().size());
+    }
+
     @Test
     void aRouterWithEmptyMemoryLearnsFromItsPeersWhileThePlatformIsDown() {
         fleet.platformDown(true);
--- a/router-core/src/main/java/org/sassafrastrail/router/core/ConfigurationHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/ConfigurationHandler.java
@@ -1,9 +1,11 @@
 package org.sassafrastrail.router.core;
 
+import java.time.Instant;
+
 import org.sassafrastrail.decision.Transition;
 import org.sassafrastrail.messages.Heartbeat;
 import org.sassafrastrail.messages.RulesAnnouncement;
-import org.sassafrastrail.model.Revision;
+import org.sassafrastrail.messages.RulesRequest;
 import org.sassafrastrail.rules.RuleDocument;
 
 /** Keeps the configuration at the newest revision that was heard of, and passes it on. */
@@ -15,11 +17,11 @@
         if (!known.isOlderThan(document)) {
             return Transition.stay(state.with(known.confirmed(true)));
         }
-        RouterState next = state.with(new RouterConfiguration(document, document.rules(), true));
+        RouterState next = state.with(new RouterConfiguration(document, document.rules(), true, known.askedAt()));
         return Transition.<RouterState, RouterAction>stay(next)
                 .then(new RouterAction.Adopted(document))
                 .thenAll(next.sidecars().keySet().stream()
-                        .map(node -> new RouterAction.Tell(node, new RulesAnnouncement(document)))
+                        .map(node -> new RouterAction.Tell(node, TickHandler.heartbeat(next)))
                         .toList());
     }
 
@@ -28,10 +30,15 @@
                 state.with(state.configuration().confirmed(state.configuration().present())));
     }
 
-    /** Whoever has the newer rule file announces it; heartbeats show who that is. */
-    Transition<RouterState, RouterAction> heartbeat(RouterState state, SidecarLink link, Heartbeat heartbeat) {
-        Revision known = state.configuration().document().revision();
-        return known.isNewerThan(heartbeat.revision()) ? requested(state, link) : Transition.stay(state);
+    /** Heartbeats show who has a newer rule file; whoever is behind asks one peer for it. */
+    Transition<RouterState, RouterAction> heartbeat(
+            RouterState state, SidecarLink link, Heartbeat heartbeat, Instant now) {
+        RouterConfiguration known = state.configuration();
+        return known.shouldAsk(heartbeat.revision(), now)
+                ? Transition.<RouterState, RouterAction>stay(state.with(known.asked(now)))
+                        .then(new RouterAction.Tell(
+                                link.node(), new RulesRequest(known.document().revision())))
+                : Transition.stay(state);
     }
 
     Transition<RouterState, RouterAction> requested(RouterState state, SidecarLink link) {
--- a/router-core/src/main/java/org/sassafrastrail/router/core/LinkHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/LinkHandler.java
@@ -95,7 +95,7 @@
             return moves.learned(state, update.progress(), update.suspensions());
         }
         if (message instanceof Heartbeat heartbeat) {
-            return configuration.heartbeat(state.with(link.with(heartbeat)), link, heartbeat);
+            return configuration.heartbeat(state.with(link.with(heartbeat)), link, heartbeat, now);
         }
         if (message instanceof RulesRequest) {
             return configuration.requested(state, link);
@@ -111,9 +111,7 @@
         Message ledger = new LedgerUpdate(state.ledger().entries().stream()
                 .filter(entry -> entry.key().target().equals(target))
                 .toList());
-        return state.configuration().present()
-                ? List.of(new RulesAnnouncement(state.configuration().document()), moves, ledger)
-                : List.of(moves, ledger);
+        return List.of(TickHandler.heartbeat(state), moves, ledger);
     }
 
     /** Asks again what became of attempts at this sidecar, unless its new life can't know. */
--- a/router-core/src/main/java/org/sassafrastrail/router/core/RouterConfiguration.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/RouterConfiguration.java
@@ -1,5 +1,8 @@
 package org.sassafrastrail.router.core;
 
+import java.time.Duration;
+import java.time.Instant;
+
 import org.sassafrastrail.model.Revision;
 import org.sassafrastrail.rules.RuleDocument;
 import org.sassafrastrail.rules.RuleSet;
@@ -10,10 +13,15 @@
  * @param document the rule file
  * @param rules its rules
  * @param confirmed whether the node may rely on it; not after a pause, until a peer or the platform was heard
+ * @param askedAt when a peer was last asked for a newer one
  */
-public record RouterConfiguration(RuleDocument document, RuleSet rules, boolean confirmed) {
+public record RouterConfiguration(RuleDocument document, RuleSet rules, boolean confirmed, Instant askedAt) {
+
+    /** One peer is asked at a time, and another one if it does not answer. */
+    private static final Duration ASK_AGAIN = Duration.ofSeconds(1);
 
-    static final RouterConfiguration NONE = new RouterConfiguration(RuleDocument.NONE, RuleSet.EMPTY, false);
+    static final RouterConfiguration NONE =
+            new RouterConfiguration(RuleDocument.NONE, RuleSet.EMPTY, false, Instant.EPOCH);
 
     /**
      * Tells whether there is a configuration at all.
@@ -29,6 +37,15 @@
     }
 
     RouterConfiguration confirmed(boolean next) {
-        return new RouterConfiguration(document, rules, next);
+        return new RouterConfiguration(document, rules, next, askedAt);
+    }
+
+    RouterConfiguration asked(Instant now) {
+        return new RouterConfiguration(document, rules, confirmed, now);
+    }
+
+    boolean shouldAsk(Revision heard, Instant now) {
+        boolean waiting = Duration.between(askedAt, now).compareTo(ASK_AGAIN) < 0;
+        return heard.isNewerThan(document.revision()) && !waiting;
     }
 }
--- a/router-core/src/main/java/org/sassafrastrail/router/core/TickHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/TickHandler.java
@@ -149,7 +149,8 @@
                         .toList());
     }
 
-    private static Heartbeat heartbeat(RouterState state) {
+    /** Says that this router is alive and which revision it has in force. */
+    static Heartbeat heartbeat(RouterState state) {
         return new Heartbeat(
                 state.configuration().document().revision(),
                 state.running().size(),
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/LinkHandler.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/LinkHandler.java
@@ -42,15 +42,14 @@
     Transition<SidecarState, SidecarAction> connected(
             SidecarState state, SidecarEvent.RouterConnected event, Instant now) {
         SidecarState next = state.with(state.routers().plus(event.router(), RouterDemand.none(event.link())));
-        return announce(next, event.router())
-                .and(announced -> tell(
-                        announced,
-                        event.router(),
-                        List.of(
-                                new MoveUpdate(
-                                        state.board().steps(), state.board().suspensions()),
-                                new EvidenceUpdate(state.evidence().entries()),
-                                new LedgerUpdate(state.ledger().entries()))));
+        return tell(
+                next,
+                event.router(),
+                List.of(
+                        TickHandler.heartbeat(state),
+                        new MoveUpdate(state.board().steps(), state.board().suspensions()),
+                        new EvidenceUpdate(state.evidence().entries()),
+                        new LedgerUpdate(state.ledger().entries())));
     }
 
     Transition<SidecarState, SidecarAction> disconnected(
@@ -79,7 +78,7 @@
             return moved(state, update);
         }
         if (message instanceof Heartbeat heartbeat) {
-            return heartbeat(state, event.router(), heartbeat);
+            return heartbeat(state, event.router(), heartbeat, now);
         }
         if (message instanceof RulesRequest) {
             return announce(state, event.router());
@@ -133,11 +132,16 @@
                                 .toList());
     }
 
-    /** Whoever has the newer rule file announces it; heartbeats show who that is. */
+    /** Heartbeats show who has a newer rule file; whoever is behind asks one peer for it. */
     private static Transition<SidecarState, SidecarAction> heartbeat(
-            SidecarState state, NodeName router, Heartbeat heartbeat) {
-        Revision known = state.configuration().document().revision();
-        return known.isNewerThan(heartbeat.revision()) ? announce(state, router) : Transition.stay(state);
+            SidecarState state, NodeName router, Heartbeat heartbeat, Instant now) {
+        SidecarState.Configuration known = state.configuration();
+        return known.shouldAsk(heartbeat.revision(), now)
+                ? tell(
+                        state.with(known.asked(now)),
+                        router,
+                        List.of(new RulesRequest(known.document().revision())))
+                : Transition.stay(state);
     }
 
     private static Transition<SidecarState, SidecarAction> announce(SidecarState state, NodeName router) {
@@ -157,13 +161,11 @@
         LimitBounds bounds = rules.target(identity.profile().target())
                 .map(LinkHandler::bounds)
                 .orElse(LimitBounds.LEAST);
-        SidecarState next = state.with(new SidecarState.Configuration(document, rules, true))
+        SidecarState next = state.with(new SidecarState.Configuration(document, rules, true, known.askedAt()))
                 .with(state.upstream().within(bounds));
         return Transition.<SidecarState, SidecarAction>stay(next)
                 .then(new SidecarAction.Adopted(document))
-                .thenAll(state.routers().keySet().stream()
-                        .map(router -> new SidecarAction.Tell(router, new RulesAnnouncement(document)))
-                        .toList());
+                .and(adopted -> TickHandler.tellAll(adopted, List.of(TickHandler.heartbeat(adopted))));
     }
 
     private static LimitBounds bounds(TargetRule rule) {
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/SidecarState.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/SidecarState.java
@@ -1,5 +1,6 @@
 package org.sassafrastrail.sidecar.core;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.LongSummaryStatistics;
 
@@ -49,15 +50,28 @@
      * @param document the rule file
      * @param rules its rules
      * @param confirmed whether the sidecar may rely on it; not after a pause, until a router was heard
+     * @param askedAt when a router was last asked for a newer one
      */
-    public record Configuration(RuleDocument document, RuleSet rules, boolean confirmed) {
+    public record Configuration(RuleDocument document, RuleSet rules, boolean confirmed, Instant askedAt) {
+
+        /** One router is asked at a time, and another one if it does not answer. */
+        private static final Duration ASK_AGAIN = Duration.ofSeconds(1);
 
         boolean usable() {
             return confirmed && !document.revision().equals(Revision.NONE);
         }
 
         Configuration confirmed(boolean next) {
-            return new Configuration(document, rules, next);
+            return new Configuration(document, rules, next, askedAt);
+        }
+
+        Configuration asked(Instant now) {
+            return new Configuration(document, rules, confirmed, now);
+        }
+
+        boolean shouldAsk(Revision heard, Instant now) {
+            boolean waiting = Duration.between(askedAt, now).compareTo(ASK_AGAIN) < 0;
+            return heard.isNewerThan(document.revision()) && !waiting;
         }
     }
 
@@ -150,7 +164,7 @@
      */
     public static SidecarState start(ConcurrencyLimit limit, CostEstimator estimator, Instant now) {
         return new SidecarState(
-                new Configuration(RuleDocument.NONE, RuleSet.EMPTY, false),
+                new Configuration(RuleDocument.NONE, RuleSet.EMPTY, false, Instant.EPOCH),
                 UpstreamView.unknown(limit, now),
                 HashTreePMap.empty(),
                 new Work(HashTreePMap.empty(), HashTreePMap.empty(), BegunAttempts.NONE, 0),
