Let one piece of code serve both cores

Cause: reading as a newcomer and duplicates: configuration, lifecycle and the fold over transitions stood twice or oftener.

--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/ArchitectureTest.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/ArchitectureTest.java
@@ -1,5 +1,8 @@
 package org.sassafrastrail.acceptance;
 
+import java.util.Arrays;
+import java.util.stream.Stream;
+
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
@@ -96,7 +99,6 @@
             .callMethod(Thread.class, "yield");
 
     private static String[] concat(String[] first, String... second) {
-        return java.util.stream.Stream.concat(java.util.Arrays.stream(first), java.util.Arrays.stream(second))
-                .toArray(String[]::new);
+        return Stream.concat(Arrays.stream(first), Arrays.stream(second)).toArray(String[]::new);
     }
 }
--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/VirtualTable.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/VirtualTable.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.LongConsumer;
 
 import org.sassafrastrail.platform.TableRead;
 import org.sassafrastrail.platform.TableService;
@@ -41,7 +42,7 @@
         return change(key, expectedVersion, version -> rows.remove(key));
     }
 
-    private TableWrite change(String key, long expectedVersion, java.util.function.LongConsumer effect) {
+    private TableWrite change(String key, long expectedVersion, LongConsumer effect) {
         if (out) {
             return new TableWrite.Unavailable();
         }
--- a/decision/src/main/java/org/sassafrastrail/decision/Transition.java
+++ b/decision/src/main/java/org/sassafrastrail/decision/Transition.java
@@ -1,7 +1,9 @@
 package org.sassafrastrail.decision;
 
 import java.util.List;
+import java.util.function.BiFunction;
 import java.util.function.Function;
+import java.util.stream.Stream;
 
 import org.pcollections.PVector;
 import org.pcollections.TreePVector;
@@ -68,4 +70,17 @@
         Transition<S, A> next = step.apply(state);
         return new Transition<>(next.state(), actions.plusAll(next.actions()));
     }
+
+    /**
+     * Takes one step for each item, each from the state that the one before it left.
+     *
+     * @param items the items, in order
+     * @param step gives the transition that follows from the state and an item
+     * @param <T> the type of the items
+     * @return all transitions as one
+     */
+    public <T> Transition<S, A> forEach(Stream<T> items, BiFunction<S, T, Transition<S, A>> step) {
+        return items.reduce(
+                this, (sofar, item) -> sofar.and(next -> step.apply(next, item)), (first, second) -> second);
+    }
 }
--- a/http/src/main/java/org/sassafrastrail/http/UndertowCaller.java
+++ b/http/src/main/java/org/sassafrastrail/http/UndertowCaller.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
+import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
@@ -153,7 +154,7 @@
     }
 
     /** Waits for the two steps of an exchange. */
-    private static final class PendingExchange implements io.undertow.client.ClientCallback<ClientExchange> {
+    private static final class PendingExchange implements ClientCallback<ClientExchange> {
 
         private final CompletableFuture<ClientExchange> sent = new CompletableFuture<>();
         private final CompletableFuture<ClientExchange> answered = new CompletableFuture<>();
@@ -168,7 +169,7 @@
 
         @Override
         public void completed(ClientExchange exchange) {
-            exchange.setResponseListener(new io.undertow.client.ClientCallback<>() {
+            exchange.setResponseListener(new ClientCallback<>() {
                 @Override
                 public void completed(ClientExchange result) {
                     answered.complete(result);
--- a/load/src/main/java/org/sassafrastrail/load/AccountReport.java
+++ b/load/src/main/java/org/sassafrastrail/load/AccountReport.java
@@ -1,5 +1,6 @@
 package org.sassafrastrail.load;
 
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -39,7 +40,7 @@
 
     synchronized String line(String account, String path) {
         return String.format(
-                java.util.Locale.ROOT,
+                Locale.ROOT,
                 "%-28s %-34s %6d of %6d whole %8d tokens  first ms %8.2f / %8.2f  between ms %7.3f / %7.3f  %s",
                 account,
                 path,
--- a/operator/src/main/java/org/sassafrastrail/operator/RuleFiles.java
+++ b/operator/src/main/java/org/sassafrastrail/operator/RuleFiles.java
@@ -1,9 +1,11 @@
 package org.sassafrastrail.operator;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 
 import org.sassafrastrail.model.Revision;
@@ -30,7 +32,7 @@
                 rejected.errors().forEach(error -> call.print(line(file, error)));
                 return Optional.empty();
             }
-            return Optional.of(new String(bytes, java.nio.charset.StandardCharsets.UTF_8));
+            return Optional.of(new String(bytes, StandardCharsets.UTF_8));
         } catch (IOException unreadable) {
             call.print(file + ": the file can't be read");
             return Optional.empty();
@@ -39,7 +41,7 @@
 
     private static String line(String file, RuleError error) {
         return file + ":" + error.line() + ":" + error.column() + ": "
-                + error.kind().name().toLowerCase(java.util.Locale.ROOT).replace('_', '-') + ", expected "
+                + error.kind().name().toLowerCase(Locale.ROOT).replace('_', '-') + ", expected "
                 + error.expected();
     }
 
--- a/rollout-core/src/main/java/org/sassafrastrail/rollout/RolloutCore.java
+++ b/rollout-core/src/main/java/org/sassafrastrail/rollout/RolloutCore.java
@@ -60,12 +60,9 @@
                 Transition.<RolloutState, RolloutAction>stay(state).then(new RolloutAction.SeekLease());
         boolean holds = state.lease().filter(lease -> lease.holdsAt(now)).isPresent();
         return holds
-                ? state.knowledge().rules().moves().stream()
-                        .map(MoveRule::move)
-                        .reduce(
-                                seeking,
-                                (sofar, move) -> sofar.and(next -> advance(next, move, now)),
-                                (first, second) -> second)
+                ? seeking.forEach(
+                        state.knowledge().rules().moves().stream().map(MoveRule::move),
+                        (next, move) -> advance(next, move, now))
                 : seeking;
     }
 
--- a/router-core/src/main/java/org/sassafrastrail/router/core/ConfigurationHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/ConfigurationHandler.java
@@ -6,6 +6,7 @@
 import org.sassafrastrail.messages.Heartbeat;
 import org.sassafrastrail.messages.RulesAnnouncement;
 import org.sassafrastrail.messages.RulesRequest;
+import org.sassafrastrail.rules.NodeConfiguration;
 import org.sassafrastrail.rules.RuleDocument;
 
 /** Keeps the configuration at the newest revision that was heard of, and passes it on. */
@@ -13,11 +14,11 @@
 
     /** Takes over a newer rule file; an older one is passed over, so a node never goes back. */
     Transition<RouterState, RouterAction> learned(RouterState state, RuleDocument document) {
-        RouterConfiguration known = state.configuration();
+        NodeConfiguration known = state.configuration();
         if (!known.isOlderThan(document)) {
             return Transition.stay(state.with(known.confirmed(true)));
         }
-        RouterState next = state.with(new RouterConfiguration(document, document.rules(), true, known.askedAt()));
+        RouterState next = state.with(known.adopted(document));
         return Transition.<RouterState, RouterAction>stay(next)
                 .then(new RouterAction.Adopted(document))
                 .thenAll(next.sidecars().keySet().stream()
@@ -33,7 +34,7 @@
     /** Heartbeats show who has a newer rule file; whoever is behind asks one peer for it. */
     Transition<RouterState, RouterAction> heartbeat(
             RouterState state, SidecarLink link, Heartbeat heartbeat, Instant now) {
-        RouterConfiguration known = state.configuration();
+        NodeConfiguration known = state.configuration();
         return known.shouldAsk(heartbeat.revision(), now)
                 ? Transition.<RouterState, RouterAction>stay(state.with(known.asked(now)))
                         .then(new RouterAction.Tell(
--- a/router-core/src/main/java/org/sassafrastrail/router/core/DemandBoard.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/DemandBoard.java
@@ -42,21 +42,15 @@
                 .toList();
         Stream<SidecarLink> rotated =
                 Stream.concat(ordered.stream().skip(turn), ordered.stream().limit(turn));
-        return rotated.sorted(Comparator.comparing(link -> !link.seemsFree()))
-                .limit(TOLD_AT_ONCE)
-                .reduce(
-                        Transition.<RouterState, RouterAction>stay(state),
-                        (sofar, link) -> sofar.and(next -> tell(next, link, now)),
-                        (first, second) -> second);
+        Stream<SidecarLink> first =
+                rotated.sorted(Comparator.comparing(link -> !link.seemsFree())).limit(TOLD_AT_ONCE);
+        return Transition.<RouterState, RouterAction>stay(state).forEach(first, (next, link) -> tell(next, link, now));
     }
 
     /** Tells every sidecar whatever has changed. */
     Transition<RouterState, RouterAction> tellAll(RouterState state, Instant now) {
-        return state.sidecars().values().stream()
-                .reduce(
-                        Transition.<RouterState, RouterAction>stay(state),
-                        (sofar, link) -> sofar.and(next -> tell(next, link, now)),
-                        (first, second) -> second);
+        return Transition.<RouterState, RouterAction>stay(state)
+                .forEach(state.sidecars().values().stream(), (next, link) -> tell(next, link, now));
     }
 
     private Transition<RouterState, RouterAction> tell(RouterState state, SidecarLink link, Instant now) {
--- a/router-core/src/main/java/org/sassafrastrail/router/core/Eligibility.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/Eligibility.java
@@ -14,7 +14,7 @@
 
     /** Tells why an upstream may not get work; empty if it may. */
     Optional<GrantReturnReason> objection(RouterState state, UpstreamProfile profile) {
-        if (!state.configuration().present() || !state.configuration().confirmed()) {
+        if (!state.configuration().usable()) {
             return Optional.of(GrantReturnReason.CONFIGURATION_UNCONFIRMED);
         }
         RuleSet rules = state.rules();
--- a/router-core/src/main/java/org/sassafrastrail/router/core/LinkHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/LinkHandler.java
@@ -116,11 +116,8 @@
 
     /** Asks again what became of attempts at this sidecar, unless its new life can't know. */
     private Transition<RouterState, RouterAction> askAgain(RouterState state, SidecarLink link, Instant now) {
-        return running(state, link.node())
-                .reduce(
-                        Transition.<RouterState, RouterAction>stay(state),
-                        (sofar, running) -> sofar.and(next -> askAgain(next, link, running, now)),
-                        (first, second) -> second);
+        return Transition.<RouterState, RouterAction>stay(state)
+                .forEach(running(state, link.node()), (next, running) -> askAgain(next, link, running, now));
     }
 
     private Transition<RouterState, RouterAction> askAgain(
--- a/router-core/src/main/java/org/sassafrastrail/router/core/MoveHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/MoveHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import org.sassafrastrail.decision.Transition;
 import org.sassafrastrail.messages.EvidenceUpdate;
@@ -30,16 +31,13 @@
 
     Transition<RouterState, RouterAction> evidence(RouterState state, EvidenceUpdate update) {
         RouterState known = state.with(state.evidence().merge(update.entries()));
-        return known.rules().moves().stream()
+        Stream<Suspension> faults = known.rules().moves().stream()
                 .map(MoveRule::move)
                 .filter(move -> known.board().suspension(move).isEmpty())
                 .filter(move -> known.board().progress(move).verdict() == MoveProgress.Verdict.RUNNING)
                 .map(move -> suspension(known, move))
-                .flatMap(Optional::stream)
-                .reduce(
-                        Transition.<RouterState, RouterAction>stay(known),
-                        (sofar, suspension) -> sofar.and(next -> suspend(next, suspension)),
-                        (first, second) -> second);
+                .flatMap(Optional::stream);
+        return Transition.<RouterState, RouterAction>stay(known).forEach(faults, MoveHandler::suspend);
     }
 
     private Optional<Suspension> suspension(RouterState state, MoveIdentifier move) {
--- a/router-core/src/main/java/org/sassafrastrail/router/core/NodeCore.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/NodeCore.java
@@ -65,13 +65,10 @@
 
     private Transition<NodeState, NodeAction> ofRollout(NodeState state, RolloutEvent event, Instant now) {
         Transition<RolloutState, RolloutAction> decided = rollout.handle(state.rollout(), event, now);
-        Transition<NodeState, NodeAction> stay = Transition.stay(state.with(decided.state()));
-        return decided.actions().stream()
-                .reduce(
-                        stay,
-                        (sofar, action) ->
-                                sofar.then(new NodeAction.OfRollout(action)).and(next -> inform(next, action, now)),
-                        (first, second) -> second);
+        return Transition.<NodeState, NodeAction>stay(state.with(decided.state()))
+                .forEach(decided.actions().stream(), (next, action) -> Transition.<NodeState, NodeAction>stay(next)
+                        .then(new NodeAction.OfRollout(action))
+                        .and(told -> inform(told, action, now)));
     }
 
     private Transition<NodeState, NodeAction> inform(NodeState state, RolloutAction action, Instant now) {
--- a/router-core/src/main/java/org/sassafrastrail/router/core/RouterState.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/RouterState.java
@@ -4,11 +4,13 @@
 
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
+import org.sassafrastrail.decision.Lifecycle;
 import org.sassafrastrail.fairness.ServiceLedger;
 import org.sassafrastrail.model.NodeName;
 import org.sassafrastrail.model.RequestIdentifier;
 import org.sassafrastrail.rollout.EvidenceLedger;
 import org.sassafrastrail.rollout.MoveBoard;
+import org.sassafrastrail.rules.NodeConfiguration;
 import org.sassafrastrail.rules.RuleSet;
 
 /**
@@ -27,7 +29,7 @@
  * @param lifecycle whether the router takes requests, and its last ticks
  */
 public record RouterState(
-        RouterConfiguration configuration,
+        NodeConfiguration configuration,
         RequestQueues queues,
         PMap<RequestIdentifier, RouterRequest> claiming,
         PMap<RequestIdentifier, RunningRequest> running,
@@ -39,33 +41,6 @@
         RetryPolicy retries,
         Lifecycle lifecycle) {
 
-    /**
-     * Whether the router takes requests, and its last ticks.
-     *
-     * @param stopping whether it takes no new request
-     * @param lastTick the last tick
-     * @param lastSharing when ledger entries were last passed on
-     * @param lastHeartbeat when the router last said that it is alive
-     */
-    public record Lifecycle(boolean stopping, Instant lastTick, Instant lastSharing, Instant lastHeartbeat) {
-
-        Lifecycle stopped() {
-            return new Lifecycle(true, lastTick, lastSharing, lastHeartbeat);
-        }
-
-        Lifecycle ticked(Instant now) {
-            return new Lifecycle(stopping, now, lastSharing, lastHeartbeat);
-        }
-
-        Lifecycle shared(Instant now) {
-            return new Lifecycle(stopping, lastTick, now, lastHeartbeat);
-        }
-
-        Lifecycle beaten(Instant now) {
-            return new Lifecycle(stopping, lastTick, lastSharing, now);
-        }
-    }
-
     /**
      * Starts with empty memory.
      *
@@ -75,7 +50,7 @@
      */
     public static RouterState start(RetryPolicy retries, Instant now) {
         return new RouterState(
-                RouterConfiguration.NONE,
+                NodeConfiguration.NONE,
                 RequestQueues.EMPTY,
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
@@ -85,7 +60,7 @@
                 MoveBoard.EMPTY,
                 VersionShares.EMPTY,
                 retries,
-                new Lifecycle(false, now, now, now));
+                Lifecycle.start(now));
     }
 
     /**
@@ -106,7 +81,7 @@
         return queues.size() == 0 && claiming.isEmpty() && running.isEmpty();
     }
 
-    RouterState with(RouterConfiguration next) {
+    RouterState with(NodeConfiguration next) {
         return new RouterState(
                 next, queues, claiming, running, sidecars, ledger, evidence, board, shares, retries, lifecycle);
     }
--- a/router-core/src/main/java/org/sassafrastrail/router/core/TickHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/TickHandler.java
@@ -42,41 +42,38 @@
 
     /** A process that was frozen may have missed a change, so it confirms its configuration before it goes on. */
     private Transition<RouterState, RouterAction> noticePause(RouterState state, Instant now) {
-        Duration gap = Duration.between(state.lifecycle().lastTick(), now);
         RouterState ticked = state.with(state.lifecycle().ticked(now));
-        return gap.compareTo(timings.pause()) <= 0
-                ? Transition.stay(ticked)
-                : Transition.<RouterState, RouterAction>stay(
+        return state.lifecycle().wasPaused(now, timings.pause())
+                ? Transition.<RouterState, RouterAction>stay(
                                 ticked.with(ticked.configuration().confirmed(false)))
-                        .then(new RouterAction.ReadRules());
+                        .then(new RouterAction.ReadRules())
+                : Transition.stay(ticked);
     }
 
     private Transition<RouterState, RouterAction> refuseLate(RouterState state, Instant now) {
-        return state.queues().late(now).stream()
-                .reduce(
-                        Transition.<RouterState, RouterAction>stay(state),
-                        (sofar, late) ->
-                                sofar.and(next -> Refusals.refuse(next, late, RefusalReason.DEADLINE_EXCEEDED)),
-                        (first, second) -> second);
+        return Transition.<RouterState, RouterAction>stay(state)
+                .forEach(
+                        state.queues().late(now).stream(),
+                        (next, late) -> Refusals.refuse(next, late, RefusalReason.DEADLINE_EXCEEDED));
     }
 
     private Transition<RouterState, RouterAction> endQuestions(RouterState state, Instant now) {
-        return forEach(
-                state,
-                state.running().values().stream().filter(running -> running.questionEnds()
-                        .filter(end -> !now.isBefore(end))
-                        .isPresent()),
-                (next, running) -> attempts.questionEnded(next, running, now));
+        return Transition.<RouterState, RouterAction>stay(state)
+                .forEach(
+                        state.running().values().stream().filter(running -> running.questionEnds()
+                                .filter(end -> !now.isBefore(end))
+                                .isPresent()),
+                        (next, running) -> attempts.questionEnded(next, running, now));
     }
 
     private Transition<RouterState, RouterAction> takeFromSilent(RouterState state, Instant now) {
-        return forEach(
-                state,
-                state.running().values().stream()
-                        .filter(running -> !running.answering())
-                        .filter(running -> running.questionEnds().isEmpty())
-                        .filter(running -> isSilent(state, running, now)),
-                (next, running) -> attempts.silent(next, running, now));
+        return Transition.<RouterState, RouterAction>stay(state)
+                .forEach(
+                        state.running().values().stream()
+                                .filter(running -> !running.answering())
+                                .filter(running -> running.questionEnds().isEmpty())
+                                .filter(running -> isSilent(state, running, now)),
+                        (next, running) -> attempts.silent(next, running, now));
     }
 
     private boolean isSilent(RouterState state, RunningRequest running, Instant now) {
@@ -89,8 +86,7 @@
     }
 
     private Transition<RouterState, RouterAction> share(RouterState state, Instant now) {
-        Duration since = Duration.between(state.lifecycle().lastSharing(), now);
-        if (since.compareTo(timings.sharing()) < 0) {
+        if (!state.lifecycle().sharingIsDue(now, timings.sharing())) {
             return Transition.stay(state);
         }
         List<LedgerEntry> news = state.ledger().unsent();
@@ -121,24 +117,8 @@
                 : Transition.stay(state);
     }
 
-    private static Transition<RouterState, RouterAction> forEach(
-            RouterState state, Stream<RunningRequest> requests, Step step) {
-        return requests.reduce(
-                Transition.<RouterState, RouterAction>stay(state),
-                (sofar, running) -> sofar.and(next -> step.take(next, running)),
-                (first, second) -> second);
-    }
-
-    /** What is done for one running request. */
-    @FunctionalInterface
-    private interface Step {
-
-        Transition<RouterState, RouterAction> take(RouterState state, RunningRequest running);
-    }
-
     private Transition<RouterState, RouterAction> beat(RouterState state, Instant now) {
-        Duration since = Duration.between(state.lifecycle().lastHeartbeat(), now);
-        if (since.compareTo(timings.heartbeat()) < 0) {
+        if (!state.lifecycle().heartbeatIsDue(now, timings.heartbeat())) {
             return Transition.stay(state);
         }
         Heartbeat heartbeat = heartbeat(state);
--- /dev/null
+++ b/rules/src/main/java/org/sassafrastrail/rules/NodeConfiguration.java
@@ -0,0 +1,103 @@
+package org.sassafrastrail.rules;
+
+import java.time.Duration;
+import java.time.Instant;
+
+import org.sassafrastrail.model.Revision;
+
+/**
+ * The configuration in force at a node, which only moves to a higher revision.
+ *
+ * @param document the rule file
+ * @param rules its rules
+ * @param confirmed whether the node may rely on it; not after a pause, until a peer or the platform was heard
+ * @param askedAt when a peer was last asked for a newer one
+ */
+public record NodeConfiguration(RuleDocument document, RuleSet rules, boolean confirmed, Instant askedAt) {
+
+    /** No configuration yet. */
+    public static final NodeConfiguration NONE =
+            new NodeConfiguration(RuleDocument.NONE, RuleSet.EMPTY, false, Instant.EPOCH);
+
+    /** One peer is asked at a time, and another one if it does not answer. */
+    private static final Duration ASK_AGAIN = Duration.ofSeconds(1);
+
+    /**
+     * Returns the revision in force.
+     *
+     * @return the revision
+     */
+    public Revision revision() {
+        return document.revision();
+    }
+
+    /**
+     * Tells whether there is a configuration at all.
+     *
+     * @return whether a rule file is in force
+     */
+    public boolean present() {
+        return !revision().equals(Revision.NONE);
+    }
+
+    /**
+     * Tells whether the node may act on the configuration.
+     *
+     * @return whether there is one and it is confirmed
+     */
+    public boolean usable() {
+        return present() && confirmed;
+    }
+
+    /**
+     * Tells whether another rule file replaces the one in force.
+     *
+     * @param other the other rule file
+     * @return whether it is newer
+     */
+    public boolean isOlderThan(RuleDocument other) {
+        return other.revision().isNewerThan(revision());
+    }
+
+    /**
+     * Takes over a newer rule file.
+     *
+     * @param newer the rule file
+     * @return the configuration, confirmed
+     */
+    public NodeConfiguration adopted(RuleDocument newer) {
+        return new NodeConfiguration(newer, newer.rules(), true, askedAt);
+    }
+
+    /**
+     * Notes whether the node may rely on the configuration.
+     *
+     * @param next whether it may
+     * @return the configuration
+     */
+    public NodeConfiguration confirmed(boolean next) {
+        return new NodeConfiguration(document, rules, next, askedAt);
+    }
+
+    /**
+     * Notes that a peer was asked for a newer rule file.
+     *
+     * @param now the time
+     * @return the configuration
+     */
+    public NodeConfiguration asked(Instant now) {
+        return new NodeConfiguration(document, rules, confirmed, now);
+    }
+
+    /**
+     * Tells whether to ask a peer for its rule file.
+     *
+     * @param heard the revision that the peer has
+     * @param now the time
+     * @return whether it is newer and nobody was asked just now
+     */
+    public boolean shouldAsk(Revision heard, Instant now) {
+        boolean waiting = Duration.between(askedAt, now).compareTo(ASK_AGAIN) < 0;
+        return heard.isNewerThan(revision()) && !waiting;
+    }
+}
--- a/rules/src/main/java/org/sassafrastrail/rules/TargetRule.java
+++ b/rules/src/main/java/org/sassafrastrail/rules/TargetRule.java
@@ -1,5 +1,7 @@
 package org.sassafrastrail.rules;
 
+import java.util.Locale;
+
 import org.sassafrastrail.model.Capability;
 import org.sassafrastrail.model.TargetName;
 import org.sassafrastrail.model.VersionName;
@@ -45,12 +47,12 @@
 
     @Override
     public String text() {
-        return capability.name().toLowerCase(java.util.Locale.ROOT)
+        return capability.name().toLowerCase(Locale.ROOT)
                 + " " + name
                 + " version " + version
                 + " cold " + coldLimit
                 + " warm " + warmLimit
                 + " repeat " + (repeatable ? "yes" : "no")
-                + " fencing " + fencing.name().toLowerCase(java.util.Locale.ROOT);
+                + " fencing " + fencing.name().toLowerCase(Locale.ROOT);
     }
 }
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/DispatchHandler.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/DispatchHandler.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
 
 import org.sassafrastrail.decision.Transition;
 import org.sassafrastrail.messages.AttemptQuery;
@@ -82,14 +84,13 @@
     }
 
     Transition<SidecarState, SidecarAction> expire(SidecarState state, Instant now) {
-        return state.work().grants().entrySet().stream()
-                .filter(entry -> !now.isBefore(entry.getValue().expiresAt()))
-                .reduce(
-                        Transition.<SidecarState, SidecarAction>stay(state),
-                        (sofar, entry) -> sofar.with(withdraw(sofar.state(), entry.getKey()))
-                                .then(new SidecarAction.Expired(
-                                        entry.getKey(), entry.getValue().account())),
-                        (first, second) -> second);
+        Stream<Map.Entry<GrantIdentifier, OutstandingGrant>> expired = state.work().grants().entrySet().stream()
+                .filter(entry -> !now.isBefore(entry.getValue().expiresAt()));
+        return Transition.<SidecarState, SidecarAction>stay(state)
+                .forEach(expired, (next, entry) -> Transition.<SidecarState, SidecarAction>stay(
+                                withdraw(next, entry.getKey()))
+                        .then(new SidecarAction.Expired(
+                                entry.getKey(), entry.getValue().account())));
     }
 
     private Optional<NotRunReason> objection(SidecarState state, OutstandingGrant grant, Instant now) {
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/GrantMaker.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/GrantMaker.java
@@ -42,16 +42,14 @@
             return none;
         }
         int free = state.upstream().free(state.work().size());
-        return IntStream.range(0, Math.max(0, free))
-                .boxed()
-                .reduce(none, (sofar, place) -> sofar.and(next -> offerOne(next, now)), (first, second) -> second);
+        return none.forEach(IntStream.range(0, Math.max(0, free)).boxed(), (next, place) -> offerOne(next, now));
     }
 
     /** Tells whether this upstream may take new work at all. */
     boolean mayGrant(SidecarState state) {
         RuleSet rules = state.rules();
         UpstreamProfile profile = identity.profile();
-        return !state.lifecycle().leaving()
+        return !state.lifecycle().stopping()
                 && state.configuration().usable()
                 && rules.inService(profile.failureDomain())
                 && !state.board()
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/LinkHandler.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/LinkHandler.java
@@ -19,8 +19,8 @@
 import org.sassafrastrail.model.NodeName;
 import org.sassafrastrail.model.Revision;
 import org.sassafrastrail.rollout.MoveBoard;
+import org.sassafrastrail.rules.NodeConfiguration;
 import org.sassafrastrail.rules.RuleDocument;
-import org.sassafrastrail.rules.RuleSet;
 import org.sassafrastrail.rules.TargetRule;
 
 /** Handles links to routers and what comes over them. */
@@ -135,7 +135,7 @@
     /** Heartbeats show who has a newer rule file; whoever is behind asks one peer for it. */
     private static Transition<SidecarState, SidecarAction> heartbeat(
             SidecarState state, NodeName router, Heartbeat heartbeat, Instant now) {
-        SidecarState.Configuration known = state.configuration();
+        NodeConfiguration known = state.configuration();
         return known.shouldAsk(heartbeat.revision(), now)
                 ? tell(
                         state.with(known.asked(now)),
@@ -153,19 +153,19 @@
 
     /** Takes over a newer rule file; an older one is passed over, so a node never goes back. */
     private Transition<SidecarState, SidecarAction> learned(SidecarState state, RuleDocument document) {
-        SidecarState.Configuration known = state.configuration();
+        NodeConfiguration known = state.configuration();
         if (!document.revision().isNewerThan(known.document().revision())) {
             return Transition.stay(state.with(known.confirmed(true)));
         }
-        RuleSet rules = document.rules();
-        LimitBounds bounds = rules.target(identity.profile().target())
+        NodeConfiguration adopted = known.adopted(document);
+        LimitBounds bounds = adopted.rules()
+                .target(identity.profile().target())
                 .map(LinkHandler::bounds)
                 .orElse(LimitBounds.LEAST);
-        SidecarState next = state.with(new SidecarState.Configuration(document, rules, true, known.askedAt()))
-                .with(state.upstream().within(bounds));
+        SidecarState next = state.with(adopted).with(state.upstream().within(bounds));
         return Transition.<SidecarState, SidecarAction>stay(next)
                 .then(new SidecarAction.Adopted(document))
-                .and(adopted -> TickHandler.tellAll(adopted, List.of(TickHandler.heartbeat(adopted))));
+                .and(informed -> TickHandler.tellAll(informed, List.of(TickHandler.heartbeat(informed))));
     }
 
     private static LimitBounds bounds(TargetRule rule) {
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/SidecarState.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/SidecarState.java
@@ -1,11 +1,11 @@
 package org.sassafrastrail.sidecar.core;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.LongSummaryStatistics;
 
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
+import org.sassafrastrail.decision.Lifecycle;
 import org.sassafrastrail.fairness.CostEstimator;
 import org.sassafrastrail.fairness.LedgerKey;
 import org.sassafrastrail.fairness.ServiceLedger;
@@ -13,11 +13,10 @@
 import org.sassafrastrail.messages.AttemptReport;
 import org.sassafrastrail.model.GrantIdentifier;
 import org.sassafrastrail.model.NodeName;
-import org.sassafrastrail.model.Revision;
 import org.sassafrastrail.model.TargetName;
 import org.sassafrastrail.rollout.EvidenceLedger;
 import org.sassafrastrail.rollout.MoveBoard;
-import org.sassafrastrail.rules.RuleDocument;
+import org.sassafrastrail.rules.NodeConfiguration;
 import org.sassafrastrail.rules.RuleSet;
 
 /**
@@ -34,7 +33,7 @@
  * @param lifecycle whether the sidecar grants, and its last ticks
  */
 public record SidecarState(
-        Configuration configuration,
+        NodeConfiguration configuration,
         UpstreamView upstream,
         PMap<NodeName, RouterDemand> routers,
         Work work,
@@ -44,37 +43,6 @@
         MoveBoard board,
         Lifecycle lifecycle) {
 
-    /**
-     * The configuration in force.
-     *
-     * @param document the rule file
-     * @param rules its rules
-     * @param confirmed whether the sidecar may rely on it; not after a pause, until a router was heard
-     * @param askedAt when a router was last asked for a newer one
-     */
-    public record Configuration(RuleDocument document, RuleSet rules, boolean confirmed, Instant askedAt) {
-
-        /** One router is asked at a time, and another one if it does not answer. */
-        private static final Duration ASK_AGAIN = Duration.ofSeconds(1);
-
-        boolean usable() {
-            return confirmed && !document.revision().equals(Revision.NONE);
-        }
-
-        Configuration confirmed(boolean next) {
-            return new Configuration(document, rules, next, askedAt);
-        }
-
-        Configuration asked(Instant now) {
-            return new Configuration(document, rules, confirmed, now);
-        }
-
-        boolean shouldAsk(Revision heard, Instant now) {
-            boolean waiting = Duration.between(askedAt, now).compareTo(ASK_AGAIN) < 0;
-            return heard.isNewerThan(document.revision()) && !waiting;
-        }
-    }
-
     /**
      * Grants and attempts.
      *
@@ -127,33 +95,6 @@
         }
     }
 
-    /**
-     * Whether the sidecar grants, and its last ticks.
-     *
-     * @param leaving whether it makes no new grant
-     * @param lastTick the last tick
-     * @param lastSharing when ledger entries were last shared
-     * @param lastHeartbeat when the sidecar last said that it is alive
-     */
-    public record Lifecycle(boolean leaving, Instant lastTick, Instant lastSharing, Instant lastHeartbeat) {
-
-        Lifecycle left() {
-            return new Lifecycle(true, lastTick, lastSharing, lastHeartbeat);
-        }
-
-        Lifecycle ticked(Instant now) {
-            return new Lifecycle(leaving, now, lastSharing, lastHeartbeat);
-        }
-
-        Lifecycle shared(Instant now) {
-            return new Lifecycle(leaving, lastTick, now, lastHeartbeat);
-        }
-
-        Lifecycle beaten(Instant now) {
-            return new Lifecycle(leaving, lastTick, lastSharing, now);
-        }
-    }
-
     /**
      * Starts with empty memory.
      *
@@ -164,7 +105,7 @@
      */
     public static SidecarState start(ConcurrencyLimit limit, CostEstimator estimator, Instant now) {
         return new SidecarState(
-                new Configuration(RuleDocument.NONE, RuleSet.EMPTY, false, Instant.EPOCH),
+                NodeConfiguration.NONE,
                 UpstreamView.unknown(limit, now),
                 HashTreePMap.empty(),
                 new Work(HashTreePMap.empty(), HashTreePMap.empty(), BegunAttempts.NONE, 0),
@@ -172,7 +113,7 @@
                 estimator,
                 EvidenceLedger.EMPTY,
                 MoveBoard.EMPTY,
-                new Lifecycle(false, now, now, now));
+                Lifecycle.start(now));
     }
 
     /**
@@ -198,7 +139,7 @@
         return totals.getCount() == 0 ? 0 : (totals.getMax() - totals.getMin()) / ServiceUnits.PER_TOKEN;
     }
 
-    SidecarState with(Configuration next) {
+    SidecarState with(NodeConfiguration next) {
         return new SidecarState(next, upstream, routers, work, ledger, estimator, evidence, board, lifecycle);
     }
 
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/TickHandler.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/TickHandler.java
@@ -1,6 +1,5 @@
 package org.sassafrastrail.sidecar.core;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.stream.Stream;
@@ -36,14 +35,15 @@
     }
 
     private Transition<SidecarState, SidecarAction> noticePause(SidecarState state, Instant now) {
-        Duration gap = Duration.between(state.lifecycle().lastTick(), now);
         SidecarState ticked = state.with(state.lifecycle().ticked(now));
-        return gap.compareTo(timings.pause()) > 0 ? LinkHandler.confirm(ticked) : Transition.stay(ticked);
+        return state.lifecycle().wasPaused(now, timings.pause())
+                ? LinkHandler.confirm(ticked)
+                : Transition.stay(ticked);
     }
 
     /** Shares the entries that this sidecar wrote; routers pass on all others. */
     private Transition<SidecarState, SidecarAction> share(SidecarState state, Instant now) {
-        if (isEarly(state.lifecycle().lastSharing(), now, timings.sharing())) {
+        if (!state.lifecycle().sharingIsDue(now, timings.sharing())) {
             return Transition.stay(state);
         }
         List<LedgerEntry> own = state.ledger().unsent().stream()
@@ -60,7 +60,7 @@
     }
 
     private Transition<SidecarState, SidecarAction> beat(SidecarState state, Instant now) {
-        if (isEarly(state.lifecycle().lastHeartbeat(), now, timings.heartbeat())) {
+        if (!state.lifecycle().heartbeatIsDue(now, timings.heartbeat())) {
             return Transition.stay(state);
         }
         return tellAll(state.with(state.lifecycle().beaten(now)), List.of(heartbeat(state)));
@@ -71,23 +71,16 @@
                 state.configuration().document().revision(),
                 state.work().running().size(),
                 state.upstream().limit().current(),
-                state.lifecycle().leaving());
+                state.lifecycle().stopping());
     }
 
     static Transition<SidecarState, SidecarAction> tellAll(SidecarState state, List<Message> messages) {
-        return state.routers().keySet().stream()
-                .reduce(
-                        Transition.<SidecarState, SidecarAction>stay(state),
-                        (sofar, router) -> sofar.and(next -> LinkHandler.tell(next, router, messages)),
-                        (first, second) -> second);
-    }
-
-    private static boolean isEarly(Instant last, Instant now, Duration interval) {
-        return Duration.between(last, now).compareTo(interval) < 0;
+        return Transition.<SidecarState, SidecarAction>stay(state)
+                .forEach(state.routers().keySet().stream(), (next, router) -> LinkHandler.tell(next, router, messages));
     }
 
     private static Transition<SidecarState, SidecarAction> noticeDrained(SidecarState state) {
-        boolean drained = state.lifecycle().leaving() && state.work().size() == 0;
+        boolean drained = state.lifecycle().stopping() && state.work().size() == 0;
         return drained
                 ? Transition.<SidecarState, SidecarAction>stay(state).then(new SidecarAction.Drained())
                 : Transition.stay(state);
--- a/sidecar-core/src/test/java/org/sassafrastrail/sidecar/core/SidecarCoreTest.java
+++ b/sidecar-core/src/test/java/org/sassafrastrail/sidecar/core/SidecarCoreTest.java
@@ -15,6 +15,7 @@
 import org.sassafrastrail.messages.AttemptReport;
 import org.sassafrastrail.messages.Demand;
 import org.sassafrastrail.messages.GrantOffer;
+import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.messages.RulesAnnouncement;
 import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.AttemptIdentifier;
@@ -64,7 +65,7 @@
         actions = transition.actions();
     }
 
-    private void say(org.sassafrastrail.messages.Message message) {
+    private void say(Message message) {
         post(new SidecarEvent.RouterSaid(ROUTER, message));
     }
 
--- a/wire/src/main/java/org/sassafrastrail/wire/Frames.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/Frames.java
@@ -4,6 +4,7 @@
 import java.io.DataOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 
 /** Reads and writes frames: four bytes of length, then the content. */
 final class Frames {
@@ -47,6 +48,6 @@
         } catch (EOFException cut) {
             throw new LinkFailure(LinkClosure.FRAME_CUT);
         }
-        return java.nio.ByteBuffer.allocate(HEADER).put((byte) first).put(rest).getInt(0);
+        return ByteBuffer.allocate(HEADER).put((byte) first).put(rest).getInt(0);
     }
 }
--- a/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
+++ b/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
@@ -1,6 +1,7 @@
 package org.sassafrastrail.wire;
 
 import java.time.Instant;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
@@ -108,7 +109,7 @@
     void noTruncatedMessageDoesHarm() {
         messages().map(codec::encode).forEach(content -> {
             for (int length = 0; length < content.length; length++) {
-                byte[] cut = java.util.Arrays.copyOf(content, length);
+                byte[] cut = Arrays.copyOf(content, length);
                 assertThat(codec.decode(cut)).isInstanceOf(Decoding.class);
             }
         });
--- a/wire/src/test/java/org/sassafrastrail/wire/SocketLinkTest.java
+++ b/wire/src/test/java/org/sassafrastrail/wire/SocketLinkTest.java
@@ -2,8 +2,10 @@
 
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -38,7 +40,7 @@
 
     @BeforeEach
     void startServer() throws IOException {
-        try (java.net.ServerSocket free = new java.net.ServerSocket(PORT_SEARCH)) {
+        try (ServerSocket free = new ServerSocket(PORT_SEARCH)) {
             port = free.getLocalPort();
         }
         LinkSettings settings = new LinkSettings(
@@ -68,7 +70,7 @@
                 socket.getInputStream().readAllBytes();
             }
         }
-        String name = "link-closures." + reason.name().toLowerCase(java.util.Locale.ROOT);
+        String name = "link-closures." + reason.name().toLowerCase(Locale.ROOT);
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
         while (registry.counter(name).getCount() == 0 && System.nanoTime() < end) {
             TimeUnit.MILLISECONDS.sleep(10);
