--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/process/ProcessFleet.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/process/ProcessFleet.java
@@ -45,7 +45,7 @@
     private final List<Integer> deskPorts = new ArrayList<>();
     private final List<Integer> routerPorts = List.of(freePort(), freePort());
     private final List<Integer> controlPorts =
-            IntStream.range(0, DESKS + 1).mapToObj(number -> freePort()).toList();
+            IntStream.range(0, DESKS + 2).mapToObj(number -> freePort()).toList();
     private final HttpProbe http = new HttpProbe();
 
     public ProcessFleet(long callMilliseconds) {
@@ -81,12 +81,12 @@
     public static String text() {
         return "service desk version v1 cold 2 warm 4 repeat no # test\n"
                 + "model legend version v1 cold 2 warm 8 repeat yes # test\n"
-                + "domain d0 in # test\ndomain d1 in # test\ndomain d2 in # test\n"
+                + "domain d0 in # test\ndomain d1 in # test\ndomain d2 in # test\ndomain d3 in # test\n"
                 + "account guest weight 1 queue 100 key " + KeyDigest.of(KEY).text() + " # test\n";
     }
 
     private StandInSettings standIns(long callMilliseconds) {
-        List<StandInSettings.VmSettings> vms = IntStream.range(0, DESKS + 1)
+        List<StandInSettings.VmSettings> vms = IntStream.range(0, DESKS + 2)
                 .mapToObj(number ->
                         new StandInSettings.VmSettings(name(number), "sidecar", HOST, controlPorts.get(number), false))
                 .toList();
@@ -101,10 +101,21 @@
     }
 
     private static String name(int number) {
-        return number < DESKS ? "desk-" + number : "engine-0";
+        return number < DESKS ? "desk-" + number : "engine-" + (number - DESKS);
+    }
+
+    /** Starts a sidecar that says that the model engine runs the new version too. */
+    public void startNewVersion() {
+        sidecar("engine-1", "legend", "v2", enginePort, DESKS + 1);
+        until(() -> routerPorts.stream()
+                .allMatch(port -> http.status(port, LINK_KEY).contains("engine-1")));
     }
 
     private void sidecar(String node, String target, int upstreamPort, int number) {
+        sidecar(node, target, "v1", upstreamPort, number);
+    }
+
+    private void sidecar(String node, String target, String version, int upstreamPort, int number) {
         write(
                 node,
                 new SidecarSettings(
@@ -114,7 +125,7 @@
                         freePort(),
                         LINK_KEY,
                         target,
-                        "v1",
+                        version,
                         "d" + number,
                         HOST,
                         upstreamPort,
