--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/VirtualFleet.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/VirtualFleet.java
@@ -54,6 +54,7 @@
     private final Map<String, Integer> counts = new TreeMap<>();
     private final Map<String, Duration> longestWaits = new TreeMap<>();
     private final List<Consumer<VirtualRequest>> endListeners = new ArrayList<>();
+    private final List<Consumer<Duration>> waitListeners = new ArrayList<>();
     private Predicate<Message> lost = message -> false;
     private RuleDocument rules = RuleDocument.NONE;
     private boolean platformDown;
@@ -168,6 +169,11 @@
         endListeners.add(listener);
     }
 
+    /** Hears how long each request waited before it was sent to a sidecar. */
+    public void onDispatch(Consumer<Duration> listener) {
+        waitListeners.add(listener);
+    }
+
     VirtualRequest request(RequestIdentifier identifier) {
         return requests.get(identifier);
     }
@@ -177,6 +183,7 @@
     }
 
     void dispatched(RouterRequest request, VirtualSidecar sidecar) {
+        waitListeners.forEach(listener -> listener.accept(request.age(time.now())));
         count("dispatched");
         count("dispatched to " + sidecar.profile().version());
         longestWaits.merge(
