Give no new work to VMs that the platform is taking away

Cause: until its sidecar got the signal, an upstream that the list showed as leaving still got work. Routers return its grants now; what runs there goes on. RouterCoreTest.aVmThatThePlatformTakesAwayGetsNoNewWork failed to compile before and passes now.

--- a/model/src/main/java/org/sassafrastrail/model/GrantReturnReason.java
+++ b/model/src/main/java/org/sassafrastrail/model/GrantReturnReason.java
@@ -6,6 +6,8 @@
     NO_DEMAND,
     /** The sidecar's failure domain is out. */
     FAILURE_DOMAIN_OUT,
+    /** The platform is taking the sidecar's VM away. */
+    VM_LEAVING,
     /** The version already has its share of the traffic. */
     VERSION_SHARE_REACHED,
     /** The version is suspended. */
--- a/router-core/src/main/java/org/sassafrastrail/router/core/DemandBoard.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/DemandBoard.java
@@ -37,7 +37,7 @@
                 request.identifier().hashCode(), Math.max(1, state.sidecars().size()));
         List<SidecarLink> ordered = state.sidecars().values().stream()
                 .filter(link -> link.profile().target().equals(request.target()))
-                .filter(link -> eligibility.objection(state, link.profile()).isEmpty())
+                .filter(link -> eligibility.objection(state, link).isEmpty())
                 .sorted(Comparator.comparing(SidecarLink::node))
                 .toList();
         Stream<SidecarLink> rotated =
@@ -74,7 +74,7 @@
     }
 
     private PMap<AccountName, AccountDemand> demand(RouterState state, SidecarLink link, Instant now) {
-        if (eligibility.objection(state, link.profile()).isPresent()) {
+        if (eligibility.objection(state, link).isPresent()) {
             return HashTreePMap.empty();
         }
         long room = eligibility.room(state, link.profile());
--- a/router-core/src/main/java/org/sassafrastrail/router/core/Eligibility.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/Eligibility.java
@@ -13,10 +13,14 @@
 final class Eligibility {
 
     /** Tells why an upstream may not get work; empty if it may. */
-    Optional<GrantReturnReason> objection(RouterState state, UpstreamProfile profile) {
+    Optional<GrantReturnReason> objection(RouterState state, SidecarLink link) {
+        UpstreamProfile profile = link.profile();
         if (!state.configuration().usable()) {
             return Optional.of(GrantReturnReason.CONFIGURATION_UNCONFIRMED);
         }
+        if (link.leaving()) {
+            return Optional.of(GrantReturnReason.VM_LEAVING);
+        }
         RuleSet rules = state.rules();
         if (!rules.inService(profile.failureDomain())) {
             return Optional.of(GrantReturnReason.FAILURE_DOMAIN_OUT);
--- a/router-core/src/main/java/org/sassafrastrail/router/core/GrantHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/GrantHandler.java
@@ -19,7 +19,7 @@
     }
 
     Transition<RouterState, RouterAction> offered(RouterState state, SidecarLink link, GrantOffer offer, Instant now) {
-        Optional<GrantReturnReason> objection = eligibility.objection(state, link.profile());
+        Optional<GrantReturnReason> objection = eligibility.objection(state, link);
         if (objection.isPresent()) {
             return giveBack(state.with(link.granted(offer.account())), link, offer, objection.get());
         }
--- a/router-core/src/main/java/org/sassafrastrail/router/core/LinkHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/LinkHandler.java
@@ -68,6 +68,14 @@
                 .filter(running -> running.sidecar().equals(sidecar));
     }
 
+    /** A VM that the platform is taking away gets no new work; what runs there goes on. */
+    Transition<RouterState, RouterAction> leaving(RouterState state, RouterEvent.VmsLeaving event, Instant now) {
+        return Transition.stay(state.sidecars().values().stream()
+                .filter(link -> link.leaving() != event.nodes().contains(link.node()))
+                .map(link -> link.leaving(!link.leaving()))
+                .reduce(state, RouterState::with, (first, second) -> second));
+    }
+
     Transition<RouterState, RouterAction> said(RouterState state, RouterEvent.SidecarSaid event, Instant now) {
         SidecarLink link = state.sidecars().get(event.node());
         if (link == null) {
--- a/router-core/src/main/java/org/sassafrastrail/router/core/RouterCore.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/RouterCore.java
@@ -37,6 +37,7 @@
                 .on(RouterEvent.SidecarConnected.class, links::connected)
                 .on(RouterEvent.SidecarDisconnected.class, links::disconnected)
                 .on(RouterEvent.SidecarSaid.class, links::said)
+                .on(RouterEvent.VmsLeaving.class, links::leaving)
                 .on(RouterEvent.RulesRead.class, (state, event, now) -> configuration.learned(state, event.document()))
                 .on(RouterEvent.PlatformSilent.class, (state, event, now) -> configuration.platformSilent(state))
                 .on(
--- a/router-core/src/main/java/org/sassafrastrail/router/core/RouterEvent.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/RouterEvent.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.messages.MoveProgress;
@@ -122,6 +123,13 @@
      */
     record RulesRead(RuleDocument document) implements RouterEvent {}
 
+    /**
+     * The platform told which VMs it is taking away.
+     *
+     * @param nodes the sidecars on them
+     */
+    record VmsLeaving(Set<NodeName> nodes) implements RouterEvent {}
+
     /** The platform did not answer. */
     record PlatformSilent() implements RouterEvent {}
 
--- a/router-core/src/main/java/org/sassafrastrail/router/core/SidecarLink.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/SidecarLink.java
@@ -19,6 +19,7 @@
  * @param profile what its upstream serves
  * @param heartbeat the last heartbeat
  * @param heardAt when the sidecar last said anything
+ * @param leaving whether the platform is taking its VM away
  * @param told how many waiting requests of each account it was told of
  */
 public record SidecarLink(
@@ -27,11 +28,12 @@
         UpstreamProfile profile,
         Heartbeat heartbeat,
         Instant heardAt,
+        boolean leaving,
         PMap<AccountName, Integer> told) {
 
     static SidecarLink fresh(NodeName node, Incarnation incarnation, UpstreamProfile profile, Instant now) {
         Heartbeat unknown = new Heartbeat(Revision.NONE, 0, 1, false);
-        return new SidecarLink(node, incarnation, profile, unknown, now, HashTreePMap.empty());
+        return new SidecarLink(node, incarnation, profile, unknown, now, false, HashTreePMap.empty());
     }
 
     /**
@@ -44,15 +46,19 @@
     }
 
     SidecarLink heard(Instant now) {
-        return new SidecarLink(node, incarnation, profile, heartbeat, now, told);
+        return new SidecarLink(node, incarnation, profile, heartbeat, now, leaving, told);
     }
 
     SidecarLink with(Heartbeat next) {
-        return new SidecarLink(node, incarnation, profile, next, heardAt, told);
+        return new SidecarLink(node, incarnation, profile, next, heardAt, leaving, told);
+    }
+
+    SidecarLink leaving(boolean next) {
+        return new SidecarLink(node, incarnation, profile, heartbeat, heardAt, next, told);
     }
 
     SidecarLink told(PMap<AccountName, Integer> counts) {
-        return new SidecarLink(node, incarnation, profile, heartbeat, heardAt, counts);
+        return new SidecarLink(node, incarnation, profile, heartbeat, heardAt, leaving, counts);
     }
 
     /** A grant was used or returned, so the sidecar expects one request less. */
--- a/router-core/src/test/java/org/sassafrastrail/router/core/RouterCoreTest.java
+++ b/router-core/src/test/java/org/sassafrastrail/router/core/RouterCoreTest.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -131,6 +132,18 @@
         assertThat(((GrantReturn) told().get(0)).reason()).isEqualTo(GrantReturnReason.FAILURE_DOMAIN_OUT);
     }
 
+    @Test
+    void aVmThatThePlatformTakesAwayGetsNoNewWork() {
+        arrive("request-1", false, Optional.empty());
+        post(new RouterEvent.VmsLeaving(Set.of(SIDECAR)));
+        grant();
+        assertThat(((GrantReturn) told().get(0)).reason()).isEqualTo(GrantReturnReason.VM_LEAVING);
+
+        post(new RouterEvent.VmsLeaving(Set.of()));
+        grant();
+        assertThat(dispatch()).isPresent();
+    }
+
     @Test
     void afterAPauseGrantsGoBackUntilTheConfigurationIsConfirmed() {
         arrive("request-1", false, Optional.empty());
--- a/router/src/main/java/org/sassafrastrail/router/SidecarLinks.java
+++ b/router/src/main/java/org/sassafrastrail/router/SidecarLinks.java
@@ -76,6 +76,10 @@
             List<VmEntry> selected = selection.select(sidecars);
             selected.forEach(entry -> dialers.computeIfAbsent(Place.of(entry), this::dial));
             hangUp(selected);
+            control.accept(new RouterEvent.VmsLeaving(selected.stream()
+                    .filter(VmEntry::leaving)
+                    .map(VmEntry::node)
+                    .collect(Collectors.toSet())));
         });
     }
 
