Take test ports below those of outgoing connections

Cause: one run of ProcessFailureTest did not start: a sidecar's port had been chosen among those that the system gives to outgoing connections, and one took it before the sidecar listened ('Address already in use' in its log). Ruled out: a slow start (all other programs ran). Ports now come from 24000 to 31999. Also new: after cut, failed and lost answers, four programs stop whole.

--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/ProcessFailureTest.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/ProcessFailureTest.java
@@ -209,4 +209,23 @@
 
         assertThat(book(0, "restarted").join().isWhole()).isTrue();
     }
+
+    @Test
+    void nothingIsLeftBehindByCutAndFailedAnswers() {
+        fleet.misbehaveEngine("{\"cutAfterTokens\":5}");
+        fleet.http().tell(fleet.routerPort(0), "cut", 50).join();
+        fleet.misbehaveEngine("{\"failPerMille\":1000}");
+        fleet.http().tell(fleet.routerPort(0), "failed", 50).join();
+        fleet.misbehaveDesks("{\"loseAnswers\":1}");
+        book(0, "lost").join();
+
+        fleet.process("router-0").terminate();
+        fleet.process("engine-0").terminate();
+        fleet.process("desk-0").terminate();
+        fleet.process("desk-1").terminate();
+        List.of("router-0", "engine-0", "desk-0", "desk-1").forEach(name -> {
+            fleet.process(name).exitCode();
+            assertThat(fleet.process(name).output()).as(name).contains("whole=true");
+        });
+    }
 }
--- /dev/null
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/process/FreePorts.java
@@ -0,0 +1,36 @@
+package org.sassafrastrail.acceptance.process;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+
+/**
+ * Free ports below those that the system gives to outgoing connections, so that no connection takes one before the
+ * program that is to listen on it has started.
+ */
+final class FreePorts {
+
+    private static final int FIRST = 24_000;
+    private static final int LAST = 32_000;
+    private static final AtomicInteger NEXT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 37 % (LAST - FIRST)));
+
+    private FreePorts() {}
+
+    static int next() {
+        return IntStream.generate(() -> FIRST + NEXT.getAndIncrement() % (LAST - FIRST))
+                .filter(FreePorts::isFree)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return socket.isBound();
+        } catch (IOException taken) {
+            return false;
+        }
+    }
+}
--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/process/ProcessFleet.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/process/ProcessFleet.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -40,12 +39,12 @@
     private final Path folder;
     private final Map<String, ProgramProcess> processes = new HashMap<>();
     private final Map<String, Path> settings = new HashMap<>();
-    private final int platformPort = freePort();
-    private final int enginePort = freePort();
+    private final int platformPort = FreePorts.next();
+    private final int enginePort = FreePorts.next();
     private final List<Integer> deskPorts = new ArrayList<>();
-    private final List<Integer> routerPorts = List.of(freePort(), freePort());
+    private final List<Integer> routerPorts = List.of(FreePorts.next(), FreePorts.next());
     private final List<Integer> controlPorts =
-            IntStream.range(0, DESKS + 2).mapToObj(number -> freePort()).toList();
+            IntStream.range(0, DESKS + 2).mapToObj(number -> FreePorts.next()).toList();
     private final HttpProbe http = new HttpProbe();
 
     public ProcessFleet(long callMilliseconds) {
@@ -54,7 +53,7 @@
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
         }
-        IntStream.range(0, DESKS).forEach(number -> deskPorts.add(freePort()));
+        IntStream.range(0, DESKS).forEach(number -> deskPorts.add(FreePorts.next()));
         write("standins", standIns(callMilliseconds));
         launch("standin", "standins");
         IntStream.range(0, DESKS).forEach(number -> sidecar("desk-" + number, "desk", deskPorts.get(number), number));
@@ -122,7 +121,7 @@
                         node,
                         HOST,
                         controlPorts.get(number),
-                        freePort(),
+                        FreePorts.next(),
                         LINK_KEY,
                         target,
                         version,
@@ -263,14 +262,6 @@
         return http.answers(port, path);
     }
 
-    private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        } catch (IOException failure) {
-            throw new UncheckedIOException(failure);
-        }
-    }
-
     @Override
     public void close() {
         processes.values().forEach(ProgramProcess::thaw);
