Let stand-ins keep a weight store and take orders

Cause: the platform's rate-limited weight store and an engine's orders, which some engines fence and others do not, were missing from the stand-ins.

--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/process/ProcessFleet.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/process/ProcessFleet.java
@@ -91,8 +91,8 @@
                 .toList();
         return new StandInSettings(
                 HOST,
-                List.of(new StandInSettings.PlatformSettings(platformPort, vms)),
-                List.of(new StandInSettings.EngineSettings(enginePort, 2, 8, 3, 5, 300)),
+                List.of(new StandInSettings.PlatformSettings(platformPort, 1_000_000, vms)),
+                List.of(new StandInSettings.EngineSettings(enginePort, 2, 8, 3, 5, 300, true)),
                 deskPorts.stream()
                         .map(port -> new StandInSettings.ServiceSettings(port, callMilliseconds))
                         .toList(),
--- a/standins/src/main/java/org/sassafrastrail/standins/EngineStandIn.java
+++ b/standins/src/main/java/org/sassafrastrail/standins/EngineStandIn.java
@@ -31,6 +31,7 @@
     private final AtomicReference<Misbehaviour> misbehaviour;
     private final LaggingLoad load;
     private final RunCounts runs = new RunCounts();
+    private final Orders orders;
     private final Set<CountDownLatch> streams = ConcurrentHashMap.newKeySet();
     private final AtomicLong incarnation = new AtomicLong(1);
     private final AtomicLong answered = new AtomicLong();
@@ -41,6 +42,7 @@
     EngineStandIn(StandInSettings.EngineSettings settings, AtomicReference<Misbehaviour> misbehaviour, Clock clock) {
         this.settings = settings;
         this.misbehaviour = misbehaviour;
+        this.orders = new Orders(settings.honoursFencing());
         this.load = new LaggingLoad(clock, Duration.ofMillis(settings.lagMilliseconds()));
     }
 
@@ -50,6 +52,7 @@
             case "/load" -> JsonPage.send(exchange, report());
             case "/runs" -> JsonPage.send(exchange, runs.json());
             case "/turn-cold" -> turnCold(exchange);
+            case "/orders" -> orders.take(exchange);
             default -> generate(exchange);
         }
     }
--- a/standins/src/main/java/org/sassafrastrail/standins/PlatformStandIn.java
+++ b/standins/src/main/java/org/sassafrastrail/standins/PlatformStandIn.java
@@ -19,11 +19,12 @@
 import org.sassafrastrail.http.JsonPage;
 import org.xnio.IoUtils;
 
-/** The platform: a table with conditional writes, an object store and a list of VMs. */
+/** The platform: a table with conditional writes, an object store, a weight store and a list of VMs. */
 final class PlatformStandIn implements HttpHandler {
 
     private static final String TABLE = "/table/";
     private static final String OBJECTS = "/objects/";
+    private static final String WEIGHTS = "/weights/";
 
     private final AtomicReference<Misbehaviour> misbehaviour;
     private final AtomicReference<List<StandInSettings.VmSettings>> vms;
@@ -31,23 +32,27 @@
     private final Map<String, byte[]> objects = new ConcurrentHashMap<>();
     private final AtomicLong reads = new AtomicLong();
     private final AtomicLong writes = new AtomicLong();
+    private final WeightStore weights;
     private final ObjectMapper mapper = new ObjectMapper();
 
-    PlatformStandIn(AtomicReference<Misbehaviour> misbehaviour, List<StandInSettings.VmSettings> vms) {
+    PlatformStandIn(AtomicReference<Misbehaviour> misbehaviour, StandInSettings.PlatformSettings settings) {
         this.misbehaviour = misbehaviour;
-        this.vms = new AtomicReference<>(vms);
+        this.vms = new AtomicReference<>(settings.vms());
+        this.weights = new WeightStore(settings.weightBytesPerSecond());
     }
 
     /** A row of the table; the version of a deleted row is not used again. */
     private record Row(byte[] value, long version) {}
 
     @Override
-    public void handleRequest(HttpServerExchange exchange) throws IOException {
+    public void handleRequest(HttpServerExchange exchange) throws IOException, InterruptedException {
         String path = URLDecoder.decode(exchange.getRequestURI(), StandardCharsets.UTF_8);
         if (path.startsWith(TABLE)) {
             table(exchange, path.substring(TABLE.length()));
         } else if (path.startsWith(OBJECTS)) {
             objects(exchange, path.substring(OBJECTS.length()));
+        } else if (path.startsWith(WEIGHTS)) {
+            weights.send(exchange, path.substring(WEIGHTS.length()));
         } else if (path.equals("/vms")) {
             vms(exchange);
         } else if (path.equals("/calls")) {
--- a/standins/src/main/java/org/sassafrastrail/standins/StandInSettings.java
+++ b/standins/src/main/java/org/sassafrastrail/standins/StandInSettings.java
@@ -22,9 +22,10 @@
      * A platform.
      *
      * @param port its port
+     * @param weightBytesPerSecond how fast its weight store gives weights, to all readers together
      * @param vms the VMs that it lists
      */
-    public record PlatformSettings(int port, List<VmSettings> vms) {}
+    public record PlatformSettings(int port, long weightBytesPerSecond, List<VmSettings> vms) {}
 
     /**
      * A VM that a platform lists.
@@ -46,6 +47,7 @@
      * @param warmAfter how many answers make it warm
      * @param tokenMilliseconds how long a token takes
      * @param lagMilliseconds by how much its load reports lag
+     * @param honoursFencing whether it refuses an order with an old fencing token
      */
     public record EngineSettings(
             int port,
@@ -53,7 +55,8 @@
             int warmCapacity,
             int warmAfter,
             long tokenMilliseconds,
-            long lagMilliseconds) {}
+            long lagMilliseconds,
+            boolean honoursFencing) {}
 
     /**
      * A plain service.
--- a/standins/src/main/java/org/sassafrastrail/standins/StandIns.java
+++ b/standins/src/main/java/org/sassafrastrail/standins/StandIns.java
@@ -24,8 +24,7 @@
      */
     public StandIns(StandInSettings settings, Clock clock) {
         Stream<HttpServerService> platforms = settings.platforms().stream()
-                .map(platform ->
-                        server(settings, platform.port(), fault -> new PlatformStandIn(fault, platform.vms())));
+                .map(platform -> server(settings, platform.port(), fault -> new PlatformStandIn(fault, platform)));
         Stream<HttpServerService> engines = settings.engines().stream()
                 .map(engine -> server(settings, engine.port(), fault -> new EngineStandIn(engine, fault, clock)));
         Stream<HttpServerService> plain = settings.services().stream()
