Let a sidecar that was frozen without links ask the next router

Cause: found while reading: a sidecar that noticed a pause while no router was linked had nobody to ask, and never granted again unless a newer rule file came. SidecarCoreTest.aSidecarThatWasFrozenWithoutLinksAsksTheNextRouter failed first. Ruled out: taking any heartbeat as confirmation (one from before the pause may still be in the socket).

--- a/rules/src/main/java/org/sassafrastrail/rules/NodeConfiguration.java
+++ b/rules/src/main/java/org/sassafrastrail/rules/NodeConfiguration.java
@@ -49,6 +49,15 @@
         return present() && confirmed;
     }
 
+    /**
+     * Tells whether the node has to hear from a peer or the platform before it acts on the configuration.
+     *
+     * @return whether there is one and it is not confirmed
+     */
+    public boolean doubted() {
+        return present() && !confirmed;
+    }
+
     /**
      * Tells whether another rule file replaces the one in force.
      *
--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/LinkHandler.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/LinkHandler.java
@@ -42,7 +42,7 @@
     Transition<SidecarState, SidecarAction> connected(
             SidecarState state, SidecarEvent.RouterConnected event, Instant now) {
         SidecarState next = state.with(state.routers().plus(event.router(), RouterDemand.none(event.link())));
-        return tell(
+        Transition<SidecarState, SidecarAction> greeted = tell(
                 next,
                 event.router(),
                 List.of(
@@ -50,6 +50,7 @@
                         new MoveUpdate(state.board().steps(), state.board().suspensions()),
                         new EvidenceUpdate(state.evidence().entries()),
                         new LedgerUpdate(state.ledger().entries())));
+        return state.configuration().doubted() ? greeted.and(LinkHandler::confirm) : greeted;
     }
 
     Transition<SidecarState, SidecarAction> disconnected(
--- a/sidecar-core/src/test/java/org/sassafrastrail/sidecar/core/SidecarCoreTest.java
+++ b/sidecar-core/src/test/java/org/sassafrastrail/sidecar/core/SidecarCoreTest.java
@@ -17,6 +17,7 @@
 import org.sassafrastrail.messages.GrantOffer;
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.messages.RulesAnnouncement;
+import org.sassafrastrail.messages.RulesRequest;
 import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.AttemptIdentifier;
 import org.sassafrastrail.model.FailureDomainName;
@@ -177,6 +178,16 @@
         assertThat(offer()).isPresent();
     }
 
+    @Test
+    void aSidecarThatWasFrozenWithoutLinksAsksTheNextRouter() {
+        post(new SidecarEvent.RouterDisconnected(ROUTER, 1));
+        now = now.plusSeconds(5);
+        post(new SidecarEvent.Tick());
+        post(new SidecarEvent.RouterConnected(ROUTER, 2));
+
+        assertThat(actions).contains(new SidecarAction.Tell(ROUTER, new RulesRequest(new Revision(1))));
+    }
+
     @Test
     void aLeavingSidecarGrantsNothing() {
         post(new SidecarEvent.StopRequested());
