Stop a test's programs also when its fleet does not start

Cause: after the run whose port was taken, five programs of the test were still there: its fleet had failed in its constructor, so nothing closed it. Programs now also end with the test's own process.

--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/process/ProcessFleet.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/process/ProcessFleet.java
@@ -54,6 +54,15 @@
             throw new UncheckedIOException(failure);
         }
         IntStream.range(0, DESKS).forEach(number -> deskPorts.add(FreePorts.next()));
+        try {
+            start(callMilliseconds);
+        } catch (RuntimeException | AssertionError failure) {
+            close();
+            throw failure;
+        }
+    }
+
+    private void start(long callMilliseconds) {
         write("standins", standIns(callMilliseconds));
         launch("standin", "standins");
         IntStream.range(0, DESKS).forEach(number -> sidecar("desk-" + number, "desk", deskPorts.get(number), number));
--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/process/ProgramProcess.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/process/ProgramProcess.java
@@ -38,12 +38,12 @@
                                     "org.sassafrastrail.application.Main"),
                             Stream.of(arguments))
                     .toList();
-            return new ProgramProcess(
-                    new ProcessBuilder(command)
-                            .redirectErrorStream(true)
-                            .redirectOutput(output.toFile())
-                            .start(),
-                    output);
+            Process process = new ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(output.toFile())
+                    .start();
+            Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+            return new ProgramProcess(process, output);
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
         }
