--- a/application/src/main/java/org/sassafrastrail/application/Main.java
+++ b/application/src/main/java/org/sassafrastrail/application/Main.java
@@ -7,10 +7,14 @@
 
 import org.sassafrastrail.operator.ExitCode;
 import org.sassafrastrail.operator.OperatorConsole;
+import org.sassafrastrail.runtime.Logging;
 
 /** Starts the program that the first word names. */
 public final class Main {
 
+    /** Commands answer on standard output and log only what went wrong. */
+    private static final String QUIET = "WARN";
+
     private Main() {}
 
     /**
@@ -37,6 +41,10 @@
         if (arguments.get(0).equals(LoadProgram.WORD)) {
             return new LoadProgram(clock).run(arguments, output);
         }
-        return programs.has(arguments.get(0)) ? programs.run(arguments, output) : operators.run(arguments, output);
+        if (programs.has(arguments.get(0))) {
+            return programs.run(arguments, output);
+        }
+        Logging.setUp(QUIET);
+        return operators.run(arguments, output);
     }
 }
--- a/operator/src/main/java/org/sassafrastrail/operator/OperatorConsole.java
+++ b/operator/src/main/java/org/sassafrastrail/operator/OperatorConsole.java
@@ -128,10 +128,10 @@
 
     private static Options options() {
         return new Options()
-                .addOption(Option.builder().longOpt("settings").hasArg().build())
-                .addOption(Option.builder().longOpt("reason").hasArg().build())
-                .addOption(Option.builder().longOpt("dry-run").build())
-                .addOption(Option.builder().longOpt("json").build())
-                .addOption(Option.builder("h").longOpt("help").build());
+                .addOption(Option.builder().longOpt("settings").hasArg().get())
+                .addOption(Option.builder().longOpt("reason").hasArg().get())
+                .addOption(Option.builder().longOpt("dry-run").get())
+                .addOption(Option.builder().longOpt("json").get())
+                .addOption(Option.builder("h").longOpt("help").get());
     }
 }
