Ask the configuration itself in the sidecar's link handler

Cause: last reading: the sidecar compared revisions by hand where NodeConfiguration already says whether it is present or older.

--- a/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/LinkHandler.java
+++ b/sidecar-core/src/main/java/org/sassafrastrail/sidecar/core/LinkHandler.java
@@ -17,7 +17,6 @@
 import org.sassafrastrail.messages.RulesRequest;
 import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.NodeName;
-import org.sassafrastrail.model.Revision;
 import org.sassafrastrail.rollout.MoveBoard;
 import org.sassafrastrail.rules.NodeConfiguration;
 import org.sassafrastrail.rules.RuleDocument;
@@ -146,16 +145,18 @@
     }
 
     private static Transition<SidecarState, SidecarAction> announce(SidecarState state, NodeName router) {
-        RuleDocument document = state.configuration().document();
-        return document.revision().equals(Revision.NONE)
-                ? Transition.stay(state)
-                : tell(state, router, List.of(new RulesAnnouncement(document)));
+        return state.configuration().present()
+                ? tell(
+                        state,
+                        router,
+                        List.of(new RulesAnnouncement(state.configuration().document())))
+                : Transition.stay(state);
     }
 
     /** Takes over a newer rule file; an older one is passed over, so a node never goes back. */
     private Transition<SidecarState, SidecarAction> learned(SidecarState state, RuleDocument document) {
         NodeConfiguration known = state.configuration();
-        if (!document.revision().isNewerThan(known.document().revision())) {
+        if (!known.isOlderThan(document)) {
             return Transition.stay(state.with(known.confirmed(true)));
         }
         NodeConfiguration adopted = known.adopted(document);
