Speak the platform's published store calls, from one client in platform/

Cause: the product's own interfaces of what lasts stood under the name that the users' platform needs for its adapter, and their HTTP form was our own invention, so the project's tests drove a client that runs nowhere else.

Now: the interfaces and protocols are the module durable; platform/ holds the one client of the store (rows under conditions, feeds, objects); the stand-in speaks the same calls (conditions and 412, ranges, feeds with 410, answers lost after the write). platform-http is gone. The store numbers its rows by one counter, so ConfigurationStore reads the row's version before it moves the row; before, it took the revision for the row's version.

--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/PlatformProtocolsTest.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/PlatformProtocolsTest.java
@@ -7,16 +7,16 @@
 
 import org.junit.jupiter.api.Test;
 import org.sassafrastrail.acceptance.fleet.VirtualTable;
+import org.sassafrastrail.durable.ConfigurationStore;
+import org.sassafrastrail.durable.ControllerLeases;
+import org.sassafrastrail.durable.IdempotencyKeys;
+import org.sassafrastrail.durable.ObjectRead;
+import org.sassafrastrail.durable.ObjectStore;
 import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.Incarnation;
 import org.sassafrastrail.model.NodeName;
 import org.sassafrastrail.model.RequestIdentifier;
 import org.sassafrastrail.model.Revision;
-import org.sassafrastrail.platform.ConfigurationStore;
-import org.sassafrastrail.platform.ControllerLeases;
-import org.sassafrastrail.platform.IdempotencyKeys;
-import org.sassafrastrail.platform.ObjectRead;
-import org.sassafrastrail.platform.ObjectStore;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/VersionMoveBatchTest.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/VersionMoveBatchTest.java
@@ -13,11 +13,11 @@
 import org.sassafrastrail.acceptance.fleet.RuleTexts;
 import org.sassafrastrail.acceptance.fleet.VirtualFleet;
 import org.sassafrastrail.acceptance.fleet.VirtualSidecar;
+import org.sassafrastrail.durable.MoveRecords;
 import org.sassafrastrail.messages.MoveProgress;
 import org.sassafrastrail.model.MoveIdentifier;
 import org.sassafrastrail.model.TargetName;
 import org.sassafrastrail.model.VersionName;
-import org.sassafrastrail.platform.MoveRecords;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/VirtualRouter.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/VirtualRouter.java
@@ -3,10 +3,10 @@
 import java.time.Duration;
 
 import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.durable.ControllerLeases;
+import org.sassafrastrail.durable.MoveRecords;
 import org.sassafrastrail.model.Incarnation;
 import org.sassafrastrail.model.NodeName;
-import org.sassafrastrail.platform.ControllerLeases;
-import org.sassafrastrail.platform.MoveRecords;
 import org.sassafrastrail.rollout.BaselineFaultDetector;
 import org.sassafrastrail.rollout.ControllerLease;
 import org.sassafrastrail.rollout.PacedRolloutPolicy;
--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/VirtualTable.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/VirtualTable.java
@@ -4,9 +4,9 @@
 import java.util.Map;
 import java.util.function.LongConsumer;
 
-import org.sassafrastrail.platform.TableRead;
-import org.sassafrastrail.platform.TableService;
-import org.sassafrastrail.platform.TableWrite;
+import org.sassafrastrail.durable.TableRead;
+import org.sassafrastrail.durable.TableService;
+import org.sassafrastrail.durable.TableWrite;
 
 /** The platform's table in memory; it can be out, and lose answers after a write has taken effect. */
 public final class VirtualTable implements TableService {
--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/process/ProcessFleet.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/process/ProcessFleet.java
@@ -69,7 +69,7 @@
         sidecar("engine-0", "legend", enginePort, DESKS);
         IntStream.range(0, routerPorts.size()).forEach(this::router);
         write("operator", operator());
-        until(() -> answers(platformPort, "/vms"));
+        until(() -> answers(platformPort, "/calls"));
         String applied = command("rules", "apply", rules(text()));
         if (!applied.contains("accepted")) {
             throw new IllegalStateException(applied);
--- a/platform/src/main/java/org/sassafrastrail/platform/ConfigurationStore.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/ConfigurationStore.java
@@ -1,4 +1,4 @@
-package org.sassafrastrail.platform;
+package org.sassafrastrail.durable;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
@@ -68,7 +68,7 @@
         if (!objects.put(row.objectName(), text.getBytes(StandardCharsets.UTF_8))) {
             return new Change.Unconfirmed();
         }
-        TableWrite write = table.write(ROW, row.text(), base.value());
+        TableWrite write = move(row, base);
         Change change = write instanceof TableWrite.Written ? new Change.Accepted(document) : settle(document, row);
         if (change instanceof Change.Accepted) {
             table.write(HISTORY + row.revision().value(), row.text(), TableService.ABSENT);
@@ -96,13 +96,29 @@
     }
 
     /** Reads the row back: it tells whose change took effect, also when the answer to the write was lost. */
+    /** Moves the row on from the base. The store numbers its rows by itself, so the row's version has to be read. */
+    private TableWrite move(RevisionRow row, Revision base) {
+        TableRead read = table.read(ROW);
+        if (read instanceof TableRead.Found found) {
+            return RevisionRow.parse(found.value()).revision().equals(base)
+                    ? table.write(ROW, row.text(), found.version())
+                    : new TableWrite.Conflict();
+        }
+        if (read instanceof TableRead.Absent) {
+            return base.equals(Revision.NONE)
+                    ? table.write(ROW, row.text(), TableService.ABSENT)
+                    : new TableWrite.Conflict();
+        }
+        return new TableWrite.Unavailable();
+    }
+
     private Change settle(RuleDocument document, RevisionRow row) {
         TableRead read = table.read(ROW);
         if (read instanceof TableRead.Found found && found.value().equals(row.text())) {
             return new Change.Accepted(document);
         }
         boolean moved = read instanceof TableRead.Found found
-                && found.version() != row.revision().value() - 1;
+                && !RevisionRow.parse(found.value()).revision().next().equals(row.revision());
         return moved
                 ? current(Revision.NONE).<Change>map(Change.Conflict::new).orElseGet(Change.Unconfirmed::new)
                 : new Change.Unconfirmed();
--- a/platform/src/main/java/org/sassafrastrail/platform/IdempotencyKeys.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/IdempotencyKeys.java
@@ -1,4 +1,4 @@
-package org.sassafrastrail.platform;
+package org.sassafrastrail.durable;
 
 import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.RequestIdentifier;
--- a/platform/src/main/java/org/sassafrastrail/platform/MoveRecords.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/MoveRecords.java
@@ -1,4 +1,4 @@
-package org.sassafrastrail.platform;
+package org.sassafrastrail.durable;
 
 import java.util.Optional;
 
--- a/platform/src/main/java/org/sassafrastrail/platform/ObjectRead.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/ObjectRead.java
@@ -1,4 +1,4 @@
-package org.sassafrastrail.platform;
+package org.sassafrastrail.durable;
 
 /** What came of fetching an object. */
 public sealed interface ObjectRead {
--- a/platform/src/main/java/org/sassafrastrail/platform/ObjectStore.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/ObjectStore.java
@@ -1,4 +1,4 @@
-package org.sassafrastrail.platform;
+package org.sassafrastrail.durable;
 
 /** The platform's object store. */
 public interface ObjectStore {
--- a/platform/src/main/java/org/sassafrastrail/platform/TableRead.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/TableRead.java
@@ -1,4 +1,4 @@
-package org.sassafrastrail.platform;
+package org.sassafrastrail.durable;
 
 /** What came of reading a row. */
 public sealed interface TableRead {
--- a/platform/src/main/java/org/sassafrastrail/platform/TableService.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/TableService.java
@@ -1,4 +1,4 @@
-package org.sassafrastrail.platform;
+package org.sassafrastrail.durable;
 
 /** The platform's transactional table: conditional reads and writes of single rows. */
 public interface TableService {
--- a/platform/src/main/java/org/sassafrastrail/platform/TableWrite.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/TableWrite.java
@@ -1,4 +1,4 @@
-package org.sassafrastrail.platform;
+package org.sassafrastrail.durable;
 
 /** What came of writing a row. */
 public sealed interface TableWrite {
--- a/operator/src/main/java/org/sassafrastrail/operator/OperatorCall.java
+++ b/operator/src/main/java/org/sassafrastrail/operator/OperatorCall.java
@@ -4,7 +4,7 @@
 import java.time.Clock;
 import java.util.List;
 
-import org.sassafrastrail.platform.ConfigurationStore;
+import org.sassafrastrail.durable.ConfigurationStore;
 
 /**
  * What an operator asked for, and what it is answered with.
--- a/operator/src/main/java/org/sassafrastrail/operator/RuleFiles.java
+++ b/operator/src/main/java/org/sassafrastrail/operator/RuleFiles.java
@@ -8,8 +8,8 @@
 import java.util.Locale;
 import java.util.Optional;
 
+import org.sassafrastrail.durable.ConfigurationStore;
 import org.sassafrastrail.model.Revision;
-import org.sassafrastrail.platform.ConfigurationStore;
 import org.sassafrastrail.rules.Rule;
 import org.sassafrastrail.rules.RuleDifference;
 import org.sassafrastrail.rules.RuleDocument;
--- a/router/src/main/java/org/sassafrastrail/router/LinkSelection.java
+++ b/router/src/main/java/org/sassafrastrail/router/LinkSelection.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-import org.sassafrastrail.platform.VmEntry;
+import org.sassafrastrail.durable.VmEntry;
 
 /** Picks the sidecars that a router links to, so that links do not grow as routers times upstreams. */
 @FunctionalInterface
--- a/router/src/main/java/org/sassafrastrail/router/PlatformWork.java
+++ b/router/src/main/java/org/sassafrastrail/router/PlatformWork.java
@@ -8,11 +8,11 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
+import org.sassafrastrail.durable.ConfigurationStore;
+import org.sassafrastrail.durable.ControllerLeases;
+import org.sassafrastrail.durable.IdempotencyKeys;
+import org.sassafrastrail.durable.MoveRecords;
 import org.sassafrastrail.model.Revision;
-import org.sassafrastrail.platform.ConfigurationStore;
-import org.sassafrastrail.platform.ControllerLeases;
-import org.sassafrastrail.platform.IdempotencyKeys;
-import org.sassafrastrail.platform.MoveRecords;
 import org.sassafrastrail.rollout.ControllerLease;
 import org.sassafrastrail.rollout.RolloutAction;
 import org.sassafrastrail.rollout.RolloutEvent;
--- a/router/src/main/java/org/sassafrastrail/router/RendezvousSelection.java
+++ b/router/src/main/java/org/sassafrastrail/router/RendezvousSelection.java
@@ -3,8 +3,8 @@
 import java.util.Comparator;
 import java.util.List;
 
+import org.sassafrastrail.durable.VmEntry;
 import org.sassafrastrail.model.NodeName;
-import org.sassafrastrail.platform.VmEntry;
 import org.sassafrastrail.rules.KeyDigest;
 
 /** Picks a bounded number of sidecars by rendezvous hashing: a VM that comes or goes moves few links. */
--- a/router/src/main/java/org/sassafrastrail/router/RouterDaemon.java
+++ b/router/src/main/java/org/sassafrastrail/router/RouterDaemon.java
@@ -11,20 +11,20 @@
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.Handlers;
 import io.undertow.server.HttpHandler;
+import org.sassafrastrail.durable.ConfigurationStore;
+import org.sassafrastrail.durable.ControllerLeases;
+import org.sassafrastrail.durable.IdempotencyKeys;
+import org.sassafrastrail.durable.MoveRecords;
+import org.sassafrastrail.durable.TableService;
 import org.sassafrastrail.http.HttpServerService;
 import org.sassafrastrail.http.UndertowCaller;
 import org.sassafrastrail.messages.Hello;
 import org.sassafrastrail.model.Incarnation;
 import org.sassafrastrail.model.NodeName;
-import org.sassafrastrail.platform.ConfigurationStore;
-import org.sassafrastrail.platform.ControllerLeases;
-import org.sassafrastrail.platform.IdempotencyKeys;
-import org.sassafrastrail.platform.MoveRecords;
-import org.sassafrastrail.platform.TableService;
-import org.sassafrastrail.platform.http.HttpObjectStore;
-import org.sassafrastrail.platform.http.HttpTableService;
-import org.sassafrastrail.platform.http.HttpVmList;
-import org.sassafrastrail.platform.http.PlatformAddress;
+import org.sassafrastrail.platform.StoreAddress;
+import org.sassafrastrail.platform.StoreObjects;
+import org.sassafrastrail.platform.StoreTable;
+import org.sassafrastrail.platform.StoreVmList;
 import org.sassafrastrail.rollout.BaselineFaultDetector;
 import org.sassafrastrail.rollout.PacedRolloutPolicy;
 import org.sassafrastrail.rollout.RolloutCore;
@@ -86,12 +86,12 @@
         UndertowCaller caller = new UndertowCaller(CLIENT_THREADS);
         TrafficThreads threads = new TrafficThreads();
         PendingCalls calls = new PendingCalls();
-        PlatformAddress address = new PlatformAddress(
+        StoreAddress address = new StoreAddress(
                 settings.platformHost(),
                 settings.platformPort(),
                 Duration.ofMillis(settings.platformPatienceMilliseconds()));
         SidecarLinks links = new SidecarLinks(
-                new HttpVmList(caller, address),
+                new StoreVmList(caller, address),
                 new RendezvousSelection(node, settings.linkLimit()),
                 settings.seedSidecars(),
                 this::post);
@@ -134,11 +134,11 @@
     }
 
     private PlatformWork platformWork(
-            UndertowCaller caller, PlatformAddress address, NodeName node, Incarnation incarnation, Clock clock) {
-        TableService table = new HttpTableService(caller, address);
+            UndertowCaller caller, StoreAddress address, NodeName node, Incarnation incarnation, Clock clock) {
+        TableService table = new StoreTable(caller, address);
         Consumer<NodeEvent> control = event -> loop().post(event);
         return new PlatformWork(
-                new ConfigurationStore(table, new HttpObjectStore(caller, address)),
+                new ConfigurationStore(table, new StoreObjects(caller, address)),
                 new IdempotencyKeys(table),
                 new ControllerLeases(table, node, incarnation, LEASE),
                 new MoveRecords(table),
--- a/router/src/main/java/org/sassafrastrail/router/SidecarLinks.java
+++ b/router/src/main/java/org/sassafrastrail/router/SidecarLinks.java
@@ -8,11 +8,11 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
+import org.sassafrastrail.durable.VmEntry;
+import org.sassafrastrail.durable.VmList;
 import org.sassafrastrail.messages.Hello;
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.model.NodeName;
-import org.sassafrastrail.platform.VmEntry;
-import org.sassafrastrail.platform.VmList;
 import org.sassafrastrail.router.core.RouterEvent;
 import org.sassafrastrail.runtime.Service;
 import org.sassafrastrail.wire.Link;
--- a/standins/src/main/java/org/sassafrastrail/standins/PlatformStandIn.java
+++ b/standins/src/main/java/org/sassafrastrail/standins/PlatformStandIn.java
@@ -3,32 +3,38 @@
 import java.io.IOException;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.Deque;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Stream;
+import java.util.stream.StreamSupport;
 
-import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
 import org.sassafrastrail.http.JsonPage;
 import org.xnio.IoUtils;
 
-/** The platform: a table with conditional writes, an object store, a weight store and a list of VMs. */
+/** The platform's store: rows under conditions, feeds of changes, objects; beside it a weight store. */
 final class PlatformStandIn implements HttpHandler {
 
-    private static final String TABLE = "/table/";
-    private static final String OBJECTS = "/objects/";
+    private static final String VMS = "vms";
     private static final String WEIGHTS = "/weights/";
+    private static final String PUT_OBJECT = "/blob-put/";
+    private static final String GET_OBJECT = "/blob-get/";
+    private static final int MOST_ROWS = 500;
 
     private final AtomicReference<Misbehaviour> misbehaviour;
-    private final AtomicReference<List<StandInSettings.VmSettings>> vms;
-    private final Map<String, Row> rows = new ConcurrentHashMap<>();
+    private final RowTables tables = new RowTables();
     private final Map<String, byte[]> objects = new ConcurrentHashMap<>();
     private final AtomicLong reads = new AtomicLong();
     private final AtomicLong writes = new AtomicLong();
@@ -37,104 +43,142 @@
 
     PlatformStandIn(AtomicReference<Misbehaviour> misbehaviour, StandInSettings.PlatformSettings settings) {
         this.misbehaviour = misbehaviour;
-        this.vms = new AtomicReference<>(settings.vms());
         this.weights = new WeightStore(settings.weightBytesPerSecond());
+        settings.vms().forEach(this::list);
     }
 
-    /** A row of the table; the version of a deleted row is not used again. */
-    private record Row(byte[] value, long version) {}
+    private void list(StandInSettings.VmSettings vm) {
+        ObjectNode value = mapper.createObjectNode()
+                .put("role", vm.role())
+                .put("host", vm.host())
+                .put("port", vm.port())
+                .put("leaving", vm.leaving());
+        String encoded = Base64.getEncoder().encodeToString(value.toString().getBytes(StandardCharsets.UTF_8));
+        tables.change(List.of(), Map.of(new RowTables.Place(VMS, "", vm.node()), encoded), List.of());
+    }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) throws IOException, InterruptedException {
         String path = URLDecoder.decode(exchange.getRequestURI(), StandardCharsets.UTF_8);
-        if (path.startsWith(TABLE)) {
-            table(exchange, path.substring(TABLE.length()));
-        } else if (path.startsWith(OBJECTS)) {
-            objects(exchange, path.substring(OBJECTS.length()));
-        } else if (path.startsWith(WEIGHTS)) {
-            weights.send(exchange, path.substring(WEIGHTS.length()));
-        } else if (path.equals("/vms")) {
-            vms(exchange);
-        } else if (path.equals("/calls")) {
-            JsonPage.send(exchange, "{\"reads\":" + reads.get() + ",\"writes\":" + writes.get() + "}\n");
-        } else {
-            JsonPage.missing(exchange);
+        switch (path) {
+            case "/rows-get" -> get(exchange);
+            case "/rows-feed" -> feed(exchange);
+            case "/rows-tx" -> change(exchange);
+            case "/calls" -> JsonPage.send(
+                    exchange, "{\"reads\":" + reads.get() + ",\"writes\":" + writes.get() + "}\n");
+            case "/forget-history" -> {
+                tables.forgetHistory();
+                JsonPage.send(exchange, "{}\n");
+            }
+            default -> object(exchange, path);
         }
     }
 
-    private void table(HttpServerExchange exchange, String key) throws IOException {
-        if (method(exchange).equals("GET")) {
-            reads.incrementAndGet();
-            Row row = rows.get(key);
-            answer(exchange, row == null ? StatusCodes.NOT_FOUND : StatusCodes.OK, Optional.ofNullable(row));
-        } else {
-            writes.incrementAndGet();
-            change(exchange, key, exchange.getInputStream().readAllBytes());
-        }
+    private void get(HttpServerExchange exchange) {
+        reads.incrementAndGet();
+        String limit = query(exchange, "limit");
+        int most = limit.isEmpty() ? MOST_ROWS : Math.min(MOST_ROWS, Integer.parseInt(limit));
+        RowTables.Found found = tables.range(
+                query(exchange, "table"),
+                query(exchange, "part"),
+                query(exchange, "from"),
+                query(exchange, "to"),
+                most);
+        ObjectNode answer = answer(found);
+        answer.put("morePages", found.rows().size() == most);
+        JsonPage.send(exchange, answer.toString());
     }
 
-    private synchronized void change(HttpServerExchange exchange, String key, byte[] value) {
-        Row row = rows.get(key);
-        if (!conditionHolds(exchange, row)) {
-            answer(exchange, StatusCodes.PRECONDITION_FAILED, Optional.ofNullable(row));
-            return;
-        }
-        Row changed = new Row(value, row == null ? 1 : row.version() + 1);
-        if (method(exchange).equals("DELETE")) {
-            rows.remove(key);
+    private void feed(HttpServerExchange exchange) throws InterruptedException {
+        reads.incrementAndGet();
+        RowTables.Found found = tables.changes(
+                query(exchange, "table"),
+                Long.parseLong(query(exchange, "afterRev")),
+                Long.parseLong(query(exchange, "waitMs")));
+        if (found == null) {
+            exchange.setStatusCode(StatusCodes.GONE);
+            exchange.endExchange();
         } else {
-            rows.put(key, changed);
+            JsonPage.send(exchange, answer(found).toString());
         }
-        if (misbehaviour.get().loseAnswers() > 0) {
+    }
+
+    private void change(HttpServerExchange exchange) throws IOException {
+        writes.incrementAndGet();
+        JsonNode call = mapper.readTree(exchange.getInputStream().readAllBytes());
+        List<RowTables.Condition> conditions = each(call, "expectRev")
+                .map(row -> new RowTables.Condition(place(row), row.path("ver").asLong()))
+                .toList();
+        Map<RowTables.Place, String> puts = new LinkedHashMap<>();
+        each(call, "puts").forEach(row -> puts.put(place(row), row.path("value").asText()));
+        boolean applied = tables.change(
+                conditions,
+                puts,
+                each(call, "remove").map(PlatformStandIn::place).toList());
+        if (applied && misbehaviour.get().loseAnswers() > 0) {
             misbehaviour.updateAndGet(Misbehaviour::oneAnswerLost);
             IoUtils.safeClose(exchange.getConnection());
-        } else {
-            answer(exchange, StatusCodes.OK, Optional.of(changed));
+            return;
         }
+        exchange.setStatusCode(applied ? StatusCodes.OK : StatusCodes.PRECONDITION_FAILED);
+        RowTables.Found now = tables.range("", "", "", "", 0);
+        JsonPage.send(
+                exchange,
+                answer(new RowTables.Found(applied ? List.of() : tables.present(conditions), now.version()))
+                        .toString());
     }
 
-    private static boolean conditionHolds(HttpServerExchange exchange, Row row) {
-        String match = exchange.getRequestHeaders().getFirst(Headers.IF_MATCH);
-        return match == null ? row == null : row != null && match.equals(tag(row));
-    }
-
-    private static void answer(HttpServerExchange exchange, int status, Optional<Row> row) {
-        exchange.setStatusCode(status);
-        row.ifPresent(present -> exchange.getResponseHeaders().put(Headers.ETAG, tag(present)));
-        exchange.getResponseSender()
-                .send(row.map(present -> new String(present.value(), StandardCharsets.UTF_8))
-                        .orElse(""));
-    }
-
-    private static String tag(Row row) {
-        return "\"" + row.version() + "\"";
+    private ObjectNode answer(RowTables.Found found) {
+        ObjectNode answer = mapper.createObjectNode();
+        ArrayNode rows = answer.putArray("rows");
+        found.rows().forEach(row -> {
+            ObjectNode node = rows.addObject()
+                    .put("table", row.place().table())
+                    .put("part", row.place().part())
+                    .put("key", row.place().key())
+                    .put("ver", row.version());
+            if (row.removed()) {
+                node.put("tombstone", true);
+            } else {
+                node.put("value", row.value());
+            }
+        });
+        return answer.put("ver", found.version()).put("nowMs", System.nanoTime() / 1_000_000);
     }
 
-    private void objects(HttpServerExchange exchange, String name) throws IOException {
-        if (method(exchange).equals("PUT")) {
+    private void object(HttpServerExchange exchange, String path) throws IOException, InterruptedException {
+        if (path.startsWith(PUT_OBJECT)) {
             writes.incrementAndGet();
-            objects.put(name, exchange.getInputStream().readAllBytes());
+            objects.put(
+                    path.substring(PUT_OBJECT.length()),
+                    exchange.getInputStream().readAllBytes());
             JsonPage.send(exchange, "{}\n");
-            return;
+        } else if (path.startsWith(GET_OBJECT)) {
+            reads.incrementAndGet();
+            byte[] content = objects.get(path.substring(GET_OBJECT.length()));
+            exchange.setStatusCode(content == null ? StatusCodes.NOT_FOUND : StatusCodes.OK);
+            exchange.getOutputStream().write(content == null ? new byte[0] : content);
+            exchange.endExchange();
+        } else if (path.startsWith(WEIGHTS)) {
+            weights.send(exchange, path.substring(WEIGHTS.length()));
+        } else {
+            JsonPage.missing(exchange);
         }
-        reads.incrementAndGet();
-        byte[] content = objects.get(name);
-        exchange.setStatusCode(content == null ? StatusCodes.NOT_FOUND : StatusCodes.OK);
-        exchange.getOutputStream().write(content == null ? new byte[0] : content);
-        exchange.endExchange();
     }
 
-    private void vms(HttpServerExchange exchange) throws IOException {
-        if (method(exchange).equals("PUT")) {
-            vms.set(mapper.readValue(
-                    exchange.getInputStream().readAllBytes(),
-                    new TypeReference<List<StandInSettings.VmSettings>>() {}));
-        }
-        reads.incrementAndGet();
-        JsonPage.send(exchange, mapper.writeValueAsString(vms.get()));
+    private static Stream<JsonNode> each(JsonNode call, String field) {
+        return StreamSupport.stream(call.path(field).spliterator(), false);
+    }
+
+    private static RowTables.Place place(JsonNode row) {
+        return new RowTables.Place(
+                row.path("table").asText(),
+                row.path("part").asText(""),
+                row.path("key").asText());
     }
 
-    private static String method(HttpServerExchange exchange) {
-        return exchange.getRequestMethod().toString();
+    private static String query(HttpServerExchange exchange, String name) {
+        Deque<String> values = exchange.getQueryParameters().get(name);
+        return values == null ? "" : values.getFirst();
     }
 }
