--- a/application/src/main/java/org/sassafrastrail/application/Program.java
+++ b/application/src/main/java/org/sassafrastrail/application/Program.java
@@ -26,6 +26,11 @@
     /** Where a program listens and with which shared key. */
     record Exposure(String host, String linkKey) {
 
+        /** Of a program that has no links, so that there is nothing to guard. */
+        static Exposure withoutLinks() {
+            return new Exposure("127.0.0.1", "");
+        }
+
         /** Links without a key are only for loopback. */
         boolean isSafe() {
             return !linkKey.isEmpty() || host.startsWith("127.") || host.equals("::1");
--- a/application/src/main/java/org/sassafrastrail/application/Programs.java
+++ b/application/src/main/java/org/sassafrastrail/application/Programs.java
@@ -4,7 +4,9 @@
 import java.nio.file.Path;
 import java.time.Clock;
 import java.util.List;
+import java.util.stream.Stream;
 
+import org.sassafrastrail.gateway.GatewaySettings;
 import org.sassafrastrail.operator.ExitCode;
 import org.sassafrastrail.router.RouterDaemon;
 import org.sassafrastrail.router.RouterSettings;
@@ -19,11 +21,16 @@
 import org.sassafrastrail.sidecar.SidecarSettings;
 import org.sassafrastrail.standins.StandInSettings;
 import org.sassafrastrail.standins.StandIns;
+import sun.misc.Signal;
 
 /** The programs that run until they are told to stop. */
 final class Programs {
 
     private static final String CHECK = "--check-settings";
+
+    /** Names the settings file where the command line does not. */
+    private static final String SETTINGS_VARIABLE = "SASSAFRASTRAIL_SETTINGS";
+
     private static final String STAND_IN_LINK_KEY = "";
 
     private final Clock clock;
@@ -40,6 +47,12 @@
                     SidecarSettings::logLevel,
                     settings -> new Program.Exposure(settings.host(), settings.linkKey()),
                     SidecarDaemon::new),
+            new Program<>(
+                    "gateway",
+                    GatewaySettings.class,
+                    GatewaySettings::logLevel,
+                    settings -> Program.Exposure.withoutLinks(),
+                    PlatformGateway::new),
             new Program<>(
                     "standin",
                     StandInSettings.class,
@@ -66,14 +79,17 @@
                 .filter(candidate -> candidate.word().equals(arguments.get(0)))
                 .findFirst()
                 .orElseThrow();
-        List<String> files =
-                arguments.stream().skip(1).filter(word -> !word.startsWith("-")).toList();
+        List<String> files = Stream.concat(
+                        arguments.stream().skip(1).filter(word -> !word.startsWith("-")),
+                        Stream.ofNullable(System.getenv(SETTINGS_VARIABLE)))
+                .limit(1)
+                .toList();
         boolean check = arguments.contains(CHECK);
         if (arguments.contains("--help")) {
             usage().forEach(output::println);
             return ExitCode.DONE;
         }
-        if (files.size() != 1 || arguments.size() != (check ? 3 : 2)) {
+        if (files.isEmpty() || arguments.size() > (check ? 3 : 2)) {
             output.println("usage: " + program.word() + " SETTINGS-FILE [" + CHECK + "]");
             return ExitCode.USAGE;
         }
@@ -95,15 +111,16 @@
             output.println(file + ": right");
             return ExitCode.DONE;
         }
-        return serve(program, settings);
+        return serve(program, settings, file);
     }
 
-    private <T> ExitCode serve(Program<T> program, T settings) {
+    private <T> ExitCode serve(Program<T> program, T settings, String file) {
         Logging.setUp(program.logLevel().apply(settings));
         EventLog log = new EventLog("org.sassafrastrail.application");
         try {
             Service service = program.make().apply(settings, clock);
             Runtime.getRuntime().addShutdownHook(new Thread(service::stop, "shutdown"));
+            Signal.handle(new Signal("HUP"), signal -> reload(program, file, log));
             service.start();
             return ExitCode.DONE;
         } catch (ServiceFailure failure) {
@@ -112,4 +129,18 @@
             return ExitCode.FAILED;
         }
     }
+
+    /** Reads the settings again. The level of the log changes at once, all else with the next start. */
+    private static <T> void reload(Program<T> program, String file, EventLog log) {
+        SettingsReading<T> reading = new SettingsReader<>(program.settings()).read(Path.of(file));
+        if (reading instanceof SettingsReading.Accepted<T> accepted) {
+            Logging.setUp(program.logLevel().apply(accepted.settings()));
+            log.info("reloaded", LogField.of("file", file));
+        } else {
+            log.warn(
+                    "reload-rejected",
+                    LogField.of("file", file),
+                    LogField.of("errors", ((SettingsReading.Rejected<T>) reading).errors()));
+        }
+    }
 }
--- /dev/null
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AccountUsage.java
@@ -0,0 +1,36 @@
+package org.sassafrastrail.gate;
+
+import java.time.Duration;
+import java.time.Instant;
+
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * What each client account got lately of the shared capacity, in tokens that fade with time.
+ *
+ * @param fading the time in which what was got counts half
+ * @param accounts what each account got, by its name
+ */
+record AccountUsage(Duration fading, PMap<String, Used> accounts) {
+
+    /** Tokens as they counted at a moment. */
+    record Used(double tokens, Instant at) {}
+
+    static AccountUsage fadingIn(Duration fading) {
+        return new AccountUsage(fading, HashTreePMap.empty());
+    }
+
+    AccountUsage charged(String account, long tokens, Instant now) {
+        return new AccountUsage(fading, accounts.plus(account, new Used(tokens(account, now) + tokens, now)));
+    }
+
+    double tokens(String account, Instant now) {
+        Used used = accounts.get(account);
+        if (used == null) {
+            return 0;
+        }
+        double halves = (double) Duration.between(used.at(), now).toNanos() / fading.toNanos();
+        return used.tokens() * Math.pow(2, -Math.max(0, halves));
+    }
+}
--- /dev/null
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Attempt.java
@@ -0,0 +1,16 @@
+package org.sassafrastrail.gate;
+
+/**
+ * An attempt that is under way.
+ *
+ * @param number its number, from 1
+ * @param upstream where it was sent
+ * @param tokensToRead the tokens of its prompt that the upstream is believed not to have cached
+ * @param reading whether the upstream has not begun to answer
+ */
+record Attempt(int number, UpstreamIdentifier upstream, long tokensToRead, boolean reading) {
+
+    Attempt answering() {
+        return new Attempt(number, upstream, tokensToRead, false);
+    }
+}
--- /dev/null
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
@@ -0,0 +1,95 @@
+package org.sassafrastrail.gate;
+
+import java.time.Instant;
+import java.util.Optional;
+
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.model.RefusalReason;
+
+/** Decides on what becomes of attempts: the end, another attempt, or a failure. */
+final class AttemptHandler {
+
+    private final GateLimits limits;
+    private final CallHandler calls;
+    private final Scheduler scheduler;
+
+    AttemptHandler(GateLimits limits, CallHandler calls, Scheduler scheduler) {
+        this.limits = limits;
+        this.calls = calls;
+        this.scheduler = scheduler;
+    }
+
+    Transition<GateState, GateAction> began(GateState state, GateEvent.AnswerBegan event, Instant now) {
+        Optional<Call> running = state.call(event.call())
+                .filter(call -> call.runs(event.attempt()))
+                .filter(call -> call.attempt().orElseThrow().reading());
+        return running.map(call -> began(state, call, now)).orElseGet(() -> Transition.stay(state));
+    }
+
+    private Transition<GateState, GateAction> began(GateState state, Call call, Instant now) {
+        Attempt attempt = call.attempt().orElseThrow();
+        GateState answering = state.with(call.answering());
+        GateState read = Optional.ofNullable(state.upstreams().get(attempt.upstream()))
+                .map(upstream -> answering.with(upstream.hasRead(attempt)))
+                .orElse(answering);
+        return scheduler.send(read, call.target(), now);
+    }
+
+    Transition<GateState, GateAction> ended(GateState state, GateEvent.AttemptEnded event, Instant now) {
+        return state.call(event.call())
+                .filter(call -> call.runs(event.attempt()))
+                .map(call -> judge(CallHandler.release(state, call), call, event.result(), now)
+                        .and(next -> conclude(next, call, event.result(), now))
+                        .and(next -> scheduler.send(next, call.target(), now)))
+                .orElseGet(() -> Transition.stay(state));
+    }
+
+    /** Learns about the upstream from the result. */
+    private Transition<GateState, GateAction> judge(GateState state, Call call, AttemptResult result, Instant now) {
+        UpstreamState upstream =
+                state.upstreams().get(call.attempt().orElseThrow().upstream());
+        if (upstream == null || result instanceof AttemptResult.Declined) {
+            return Transition.stay(state);
+        }
+        if (result instanceof AttemptResult.Delivered || result instanceof AttemptResult.Failed) {
+            return Transition.stay(state.with(upstream.succeeded()));
+        }
+        UpstreamState failed = upstream.failed();
+        boolean eject = result instanceof AttemptResult.WrongUpstream || failed.failuresInRow() >= limits.ejectAfter();
+        if (!eject) {
+            return Transition.stay(state.with(failed));
+        }
+        return Transition.<GateState, GateAction>stay(state.with(failed.ejected(now.plus(limits.ejectFor()))))
+                .then(new GateAction.Believe(
+                        upstream.upstream().identifier(),
+                        Belief.EJECTED,
+                        result.getClass().getSimpleName() + " after " + failed.failuresInRow() + " failures in a row"));
+    }
+
+    private Transition<GateState, GateAction> conclude(GateState state, Call call, AttemptResult result, Instant now) {
+        if (result instanceof AttemptResult.Delivered) {
+            return Transition.stay(state.without(call));
+        }
+        Call again = call.waitingAgain(now, result);
+        if (mayTryAgain(state, again, result, now)) {
+            return Transition.stay(state.with(again));
+        }
+        return result instanceof AttemptResult.Broken
+                ? Transition.<GateState, GateAction>stay(state.without(call))
+                        .then(new GateAction.Fail(call.number(), false))
+                : calls.refuse(state, again, RefusalReason.UPSTREAM_DECLINED);
+    }
+
+    private boolean mayTryAgain(GateState state, Call again, AttemptResult result, Instant now) {
+        Route route = again.description().route();
+        boolean safe = result.provesNotRun()
+                || (result instanceof AttemptResult.Broken ? route.resumable() : route.mayRunAgain());
+        double gateways = state.gateways();
+        boolean affordable =
+                state.budget(again.target()).allows(now, limits.repeatShare(), limits.repeatExtra() / gateways);
+        return safe
+                && again.sent() < route.mostUpstreams()
+                && now.isBefore(again.description().giveUpAt())
+                && affordable;
+    }
+}
--- /dev/null
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateLimits.java
@@ -0,0 +1,33 @@
+package org.sassafrastrail.gate;
+
+import java.time.Duration;
+
+/**
+ * The limits by which a gateway decides.
+ *
+ * @param readTokensPerMillisecond how fast an engine reads prompts
+ * @param mostWaitShareOfAim how much of its aim a request may spend, at the estimate, behind other prompts at an engine
+ * @param mostHeldShareOfAim how much of its aim a request may wait here before it is refused
+ * @param comeBackAfter what refused callers are told to wait
+ * @param repeatShare how many repeats a target may get in the window, as a share of its requests, over the fleet
+ * @param repeatExtra how many repeats a target may get in the window beyond that, over the fleet
+ * @param coldFactor how far a cold upstream's rate may be exceeded in one second
+ * @param coldExtra how many requests a cold upstream may get in one second beyond that
+ * @param ejectAfter how many failures in a row make an upstream look broken
+ * @param ejectFor how long such an upstream gets no work
+ * @param drainAtLeast how long a stopping gateway goes on serving its open connections
+ * @param drainAtMost when a stopping gateway ends, whatever still runs
+ */
+public record GateLimits(
+        double readTokensPerMillisecond,
+        double mostWaitShareOfAim,
+        double mostHeldShareOfAim,
+        Duration comeBackAfter,
+        double repeatShare,
+        double repeatExtra,
+        double coldFactor,
+        double coldExtra,
+        int ejectAfter,
+        Duration ejectFor,
+        Duration drainAtLeast,
+        Duration drainAtMost) {}
--- /dev/null
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateState.java
@@ -0,0 +1,145 @@
+package org.sassafrastrail.gate;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
+import org.pcollections.OrderedPSet;
+import org.pcollections.PMap;
+import org.pcollections.PSet;
+import org.sassafrastrail.model.FailureDomainName;
+import org.sassafrastrail.model.TargetName;
+
+/**
+ * All that a gateway knows.
+ *
+ * @param table the configuration in force, empty until one was read
+ * @param upstreams the upstreams that are registered, or that requests still run at
+ * @param calls the requests without a final answer, by number
+ * @param waiting the requests that wait for an attempt, oldest first
+ * @param domainsOut the failure domains that are out of service
+ * @param gateways how many gateways share the upstreams
+ * @param usage what each client account got lately
+ * @param budgets the repeats of each target
+ * @param stoppingSince since when the gateway is stopping, empty if it is not
+ */
+public record GateState(
+        Optional<RouteTable> table,
+        PMap<UpstreamIdentifier, UpstreamState> upstreams,
+        PMap<Long, Call> calls,
+        PSet<Long> waiting,
+        PSet<FailureDomainName> domainsOut,
+        int gateways,
+        AccountUsage usage,
+        PMap<TargetName, RepeatBudget> budgets,
+        Optional<Instant> stoppingSince) {
+
+    /**
+     * Starts a gateway that knows nothing.
+     *
+     * @param quotaWindow the time over which client accounts share capacity
+     * @return its state
+     */
+    public static GateState start(Duration quotaWindow) {
+        return new GateState(
+                Optional.empty(),
+                HashTreePMap.empty(),
+                HashTreePMap.empty(),
+                OrderedPSet.empty(),
+                HashTreePSet.empty(),
+                1,
+                AccountUsage.fadingIn(quotaWindow),
+                HashTreePMap.empty(),
+                Optional.empty());
+    }
+
+    /**
+     * Tells whether new callers should come here.
+     *
+     * @return whether there is a configuration and the gateway is not stopping
+     */
+    public boolean ready() {
+        return table.isPresent() && stoppingSince.isEmpty();
+    }
+
+    /**
+     * Tells whether there is work.
+     *
+     * @return whether a request has no final answer yet, or the gateway is stopping
+     */
+    public boolean hasCalls() {
+        return !calls.isEmpty() || stoppingSince.isPresent();
+    }
+
+    Optional<Call> call(long number) {
+        return Optional.ofNullable(calls.get(number));
+    }
+
+    Stream<Call> waitingCalls() {
+        return waiting.stream().map(calls::get);
+    }
+
+    GateState with(RouteTable next) {
+        return new GateState(
+                Optional.of(next), upstreams, calls, waiting, domainsOut, gateways, usage, budgets, stoppingSince);
+    }
+
+    GateState withUpstreams(PMap<UpstreamIdentifier, UpstreamState> next) {
+        return new GateState(table, next, calls, waiting, domainsOut, gateways, usage, budgets, stoppingSince);
+    }
+
+    GateState with(UpstreamState next) {
+        UpstreamIdentifier identifier = next.upstream().identifier();
+        return withUpstreams(next.isUnused() ? upstreams.minus(identifier) : upstreams.plus(identifier, next));
+    }
+
+    GateState with(Call next) {
+        PSet<Long> queue = next.waits() ? waiting.plus(next.number()) : waiting.minus(next.number());
+        return withCalls(calls.plus(next.number(), next), queue);
+    }
+
+    GateState without(Call ended) {
+        return withCalls(calls.minus(ended.number()), waiting.minus(ended.number()));
+    }
+
+    private GateState withCalls(PMap<Long, Call> nextCalls, PSet<Long> nextWaiting) {
+        return new GateState(
+                table, upstreams, nextCalls, nextWaiting, domainsOut, gateways, usage, budgets, stoppingSince);
+    }
+
+    GateState withDomainsOut(PSet<FailureDomainName> next) {
+        return new GateState(table, upstreams, calls, waiting, next, gateways, usage, budgets, stoppingSince);
+    }
+
+    GateState withGateways(int next) {
+        return new GateState(table, upstreams, calls, waiting, domainsOut, next, usage, budgets, stoppingSince);
+    }
+
+    GateState with(AccountUsage next) {
+        return new GateState(table, upstreams, calls, waiting, domainsOut, gateways, next, budgets, stoppingSince);
+    }
+
+    GateState with(TargetName target, RepeatBudget next) {
+        return new GateState(
+                table,
+                upstreams,
+                calls,
+                waiting,
+                domainsOut,
+                gateways,
+                usage,
+                budgets.plus(target, next),
+                stoppingSince);
+    }
+
+    GateState stopping(Instant now) {
+        return new GateState(table, upstreams, calls, waiting, domainsOut, gateways, usage, budgets, Optional.of(now));
+    }
+
+    RepeatBudget budget(TargetName target) {
+        return budgets.getOrDefault(target, RepeatBudget.EMPTY);
+    }
+}
--- /dev/null
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -0,0 +1,107 @@
+package org.sassafrastrail.gate;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.model.TargetName;
+
+/** Sends waiting requests to upstreams that may take them, the account that got least first. */
+final class Scheduler {
+
+    private static final String NO_ACCOUNT = "";
+
+    private final GateLimits limits;
+    private final Placement prompts;
+    private final Placement plain;
+
+    Scheduler(GateLimits limits, Placement prompts, Placement plain) {
+        this.limits = limits;
+        this.prompts = prompts;
+        this.plain = plain;
+    }
+
+    /** Sends what can be sent, of all targets. */
+    Transition<GateState, GateAction> sendAll(GateState state, Instant now) {
+        return Transition.<GateState, GateAction>stay(state)
+                .forEach(state.waitingCalls().map(Call::target).distinct(), (next, target) -> send(next, target, now));
+    }
+
+    /**
+     * Sends what can be sent of one target. A fresh request that finds no place holds up those behind it; one that is
+     * tried again does not, because it may have tried all upstreams.
+     */
+    Transition<GateState, GateAction> send(GateState state, TargetName target, Instant now) {
+        List<Call> queue = state.waitingCalls()
+                .filter(call -> call.target().equals(target))
+                .sorted(Comparator.<Call>comparingDouble(call -> state.usage().tokens(account(call), now))
+                        .thenComparing(Call::waitingSince))
+                .toList();
+        for (Call call : queue) {
+            Optional<Placement.Place> place = place(state, call, now);
+            if (place.isPresent()) {
+                return dispatch(state, call, place.get(), now).and(next -> send(next, target, now));
+            }
+            if (call.attempts() == 0) {
+                return Transition.stay(state);
+            }
+        }
+        return Transition.stay(state);
+    }
+
+    private Optional<Placement.Place> place(GateState state, Call call, Instant now) {
+        Stream<UpstreamState> candidates =
+                state.upstreams().values().stream().filter(upstream -> mayGet(state, upstream, call, now));
+        Placement placement = call.description().route().prompted() ? prompts : plain;
+        return placement.place(call, candidates, state.gateways(), now);
+    }
+
+    private boolean mayGet(GateState state, UpstreamState upstream, Call call, Instant now) {
+        Upstream entry = upstream.upstream();
+        return entry.target().equals(call.target())
+                && upstream.registered()
+                && !entry.leaving()
+                && !upstream.isEjected(now)
+                && !state.domainsOut().contains(entry.domain())
+                && !call.tried().contains(entry.identifier())
+                && (!upstream.isCold(now) || coldAllows(state, upstream, now));
+    }
+
+    private boolean coldAllows(GateState state, UpstreamState upstream, Instant now) {
+        double perSecond = state.table()
+                .map(table -> table.targets().get(upstream.upstream().target()))
+                .map(TargetProfile::coldRequestsPerSecond)
+                .orElse(0.0);
+        double share = (perSecond * limits.coldFactor() + limits.coldExtra()) / state.gateways();
+        return upstream.sentLately(now).size() + 1 <= Math.max(1, Math.floor(share));
+    }
+
+    private static Transition<GateState, GateAction> dispatch(
+            GateState state, Call call, Placement.Place place, Instant now) {
+        Attempt attempt =
+                new Attempt(call.attempts() + 1, place.upstream().upstream().identifier(), place.tokensToRead(), true);
+        Call sent = call.sentTo(attempt);
+        GateState charged = call.attempts() == 0
+                ? state.with(state.usage()
+                        .charged(account(call), call.description().prompt().cost(), now))
+                : state.with(call.target(), state.budget(call.target()).repeat(now));
+        GateAction action = new GateAction.Dispatch(
+                call.number(),
+                attempt.number(),
+                place.upstream().upstream(),
+                Duration.between(now, call.description().giveUpAt()),
+                Duration.between(call.description().arrivedAt(), now),
+                place.upstream().tokensAhead());
+        return Transition.<GateState, GateAction>stay(
+                        charged.with(sent).with(place.upstream().sent(attempt, now)))
+                .then(action);
+    }
+
+    private static String account(Call call) {
+        return call.description().account().map(Object::toString).orElse(NO_ACCOUNT);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/AttemptListener.java
@@ -0,0 +1,25 @@
+package org.sassafrastrail.gateway;
+
+import java.nio.ByteBuffer;
+
+import org.sassafrastrail.gate.AttemptResult;
+
+/** Learns what comes of an attempt. Called on the input and output thread of the attempt. */
+interface AttemptListener {
+
+    /** The head of a usable answer came; its body follows. */
+    void answers(UpstreamHead head);
+
+    /**
+     * A part of the body came.
+     *
+     * @return whether it was taken whole; if not, nothing more is read until {@link UpstreamAttempt#resume}
+     */
+    boolean takes(ByteBuffer part);
+
+    /** No more of the body is there at the moment. */
+    void pauses();
+
+    /** The attempt ended, with the body whole or not. */
+    void ends(AttemptResult result);
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -0,0 +1,345 @@
+package org.sassafrastrail.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import io.undertow.client.ClientRequest;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
+import org.sassafrastrail.gate.AttemptResult;
+import org.sassafrastrail.gate.CallDescription;
+import org.sassafrastrail.gate.GateAction;
+import org.sassafrastrail.gate.GateEvent;
+import org.sassafrastrail.http.Problem;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+
+/**
+ * A caller's request on its way: its attempts one after the other, and the answer as far as the caller has it. All but the
+ * constructor runs on the input and output thread of the caller's connection.
+ */
+final class CallerExchange implements AttemptListener {
+
+    /** Answers up to this size are gathered, so that one that breaks off can still be replaced. */
+    private static final int LARGEST_GATHERED_BYTES = 64 * 1024;
+
+    private static final byte[] NOTHING = {};
+
+    private final HttpServerExchange exchange;
+    private final long number;
+    private final CallDescription description;
+    private final byte[] body;
+    private final CallerProtocol protocol;
+    private final UpstreamConnections connections;
+    private final Consumer<GateEvent> events;
+    private final Optional<EventCutter> cutter;
+
+    private UpstreamAttempt attempt;
+    private int attemptNumber;
+    private UpstreamHead head;
+    private Optional<ByteArrayOutputStream> gathered = Optional.empty();
+    private Optional<GatheredAnswer> kept = Optional.empty();
+    private StreamSinkChannel sink;
+    private ByteBuffer unwritten = ByteBuffer.wrap(NOTHING);
+    private boolean finishing;
+    private boolean closed;
+    private Ending ending = Ending.ANSWERED;
+
+    CallerExchange(
+            HttpServerExchange exchange,
+            long number,
+            CallDescription description,
+            byte[] body,
+            CallerProtocol protocol,
+            UpstreamConnections connections,
+            Consumer<GateEvent> events) {
+        this.exchange = exchange;
+        this.number = number;
+        this.description = description;
+        this.body = body;
+        this.protocol = protocol;
+        this.connections = connections;
+        this.events = events;
+        this.cutter = description.route().resumable() ? Optional.of(new EventCutter()) : Optional.empty();
+    }
+
+    /** An upstream's whole answer. */
+    private record GatheredAnswer(UpstreamHead head, byte[] body) {}
+
+    CallDescription description() {
+        return description;
+    }
+
+    long bodyBytes() {
+        return body.length;
+    }
+
+    Ending ending() {
+        return ending;
+    }
+
+    int status() {
+        return exchange.getStatusCode();
+    }
+
+    /** Runs work on the thread that this exchange lives on. */
+    void run(Runnable work) {
+        exchange.getIoThread().execute(work);
+    }
+
+    void closed() {
+        closed = true;
+    }
+
+    void dispatch(GateAction.Dispatch dispatch) {
+        if (closed) {
+            return;
+        }
+        Optional<String> resumeAfter = sink == null ? Optional.empty() : cutter.flatMap(EventCutter::lastIdentifier);
+        HeaderMap headers = protocol.toUpstream(
+                exchange.getRequestHeaders(), description, dispatch.upstream(), dispatch.timeLeft(), resumeAfter);
+        ClientRequest message =
+                new ClientRequest().setMethod(exchange.getRequestMethod()).setPath(target());
+        headers.forEach(header -> message.getRequestHeaders().addAll(header.getHeaderName(), header));
+        if (body.length > 0) {
+            message.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
+        }
+        cutter.ifPresent(EventCutter::forgetPartial);
+        gathered = Optional.empty();
+        head = null;
+        attemptNumber = dispatch.attempt();
+        attempt = new UpstreamAttempt(
+                dispatch.upstream(), description.request(), message, body, protocol, connections, this);
+        attempt.start();
+    }
+
+    private String target() {
+        String query = exchange.getQueryString();
+        return query.isEmpty() ? exchange.getRequestURI() : exchange.getRequestURI() + "?" + query;
+    }
+
+    void abandon(int abandoned) {
+        if (attempt != null && attemptNumber == abandoned) {
+            attempt.abandon();
+        }
+    }
+
+    @Override
+    public void answers(UpstreamHead answer) {
+        head = answer;
+        boolean small = answer.length().isPresent() && answer.length().getAsLong() <= LARGEST_GATHERED_BYTES;
+        boolean failed = answer.kind() == AnswerKind.FAILED;
+        boolean plain =
+                !description.route().streamed() && (small || answer.length().isEmpty());
+        if (sink == null && (failed || plain)) {
+            gathered = Optional.of(new ByteArrayOutputStream());
+        }
+        events.accept(new GateEvent.AnswerBegan(number, attemptNumber));
+    }
+
+    @Override
+    public boolean takes(ByteBuffer part) {
+        if (gathered.isPresent()) {
+            return gather(part, gathered.get());
+        }
+        if (cutter.isPresent()) {
+            return write(ByteBuffer.wrap(cutter.get().whole(part)));
+        }
+        return write(part);
+    }
+
+    /** An answer that is too large to gather is passed on as it comes. */
+    private boolean gather(ByteBuffer part, ByteArrayOutputStream sofar) {
+        byte[] bytes = new byte[part.remaining()];
+        part.get(bytes);
+        sofar.writeBytes(bytes);
+        if (sofar.size() <= LARGEST_GATHERED_BYTES || head.kind() == AnswerKind.FAILED) {
+            return true;
+        }
+        gathered = Optional.empty();
+        return write(ByteBuffer.wrap(sofar.toByteArray()));
+    }
+
+    private boolean write(ByteBuffer part) {
+        if (closed || !part.hasRemaining()) {
+            return true;
+        }
+        begin(head);
+        try {
+            while (part.hasRemaining()) {
+                if (sink.write(part) == 0) {
+                    unwritten = copy(part);
+                    sink.getWriteSetter().set(channel -> writeOn());
+                    sink.resumeWrites();
+                    return false;
+                }
+            }
+            return true;
+        } catch (IOException left) {
+            callerLeft();
+            return true;
+        }
+    }
+
+    private static ByteBuffer copy(ByteBuffer part) {
+        ByteBuffer copy = ByteBuffer.allocate(part.remaining());
+        copy.put(part).flip();
+        return copy;
+    }
+
+    /** The caller reads again: writes what was left, then lets the upstream's answer go on. */
+    private void writeOn() {
+        try {
+            while (unwritten.hasRemaining()) {
+                if (sink.write(unwritten) == 0) {
+                    return;
+                }
+            }
+            if (!sink.flush()) {
+                return;
+            }
+            sink.suspendWrites();
+            if (finishing) {
+                finish();
+            } else {
+                attempt.resume();
+            }
+        } catch (IOException left) {
+            callerLeft();
+        }
+    }
+
+    @Override
+    public void pauses() {
+        if (sink == null || closed) {
+            return;
+        }
+        try {
+            if (!sink.flush()) {
+                sink.getWriteSetter().set(channel -> writeOn());
+                sink.resumeWrites();
+            }
+        } catch (IOException left) {
+            callerLeft();
+        }
+    }
+
+    /** Sends the head of the answer, once. */
+    private void begin(UpstreamHead answer) {
+        if (sink == null) {
+            exchange.setStatusCode(answer.status());
+            exchange.getResponseHeaders().clear();
+            answer.headers().forEach(header -> exchange.getResponseHeaders().addAll(header.getHeaderName(), header));
+            sink = exchange.getResponseChannel();
+        }
+    }
+
+    @Override
+    public void ends(AttemptResult result) {
+        boolean whole = result instanceof AttemptResult.Delivered;
+        if (whole && gathered.isPresent()) {
+            GatheredAnswer answer = new GatheredAnswer(head, gathered.get().toByteArray());
+            if (head.kind() == AnswerKind.FAILED) {
+                kept = Optional.of(answer);
+                ended(new AttemptResult.Failed());
+            } else {
+                deliver(answer);
+                ended(result);
+            }
+        } else if (whole) {
+            finishStream();
+            ended(result);
+        } else {
+            boolean partial = result instanceof AttemptResult.Broken && sink != null;
+            ended(result instanceof AttemptResult.Broken && !partial ? new AttemptResult.Lost() : result);
+        }
+    }
+
+    private void ended(AttemptResult result) {
+        events.accept(new GateEvent.AttemptEnded(number, attemptNumber, result));
+    }
+
+    /** Gives the caller the failure that was kept. */
+    void deliverKept() {
+        kept.ifPresentOrElse(this::deliver, () -> fail(false));
+    }
+
+    private void deliver(GatheredAnswer answer) {
+        if (closed) {
+            return;
+        }
+        begin(answer.head());
+        if (write(ByteBuffer.wrap(answer.body()))) {
+            finish();
+        } else {
+            finishing = true;
+        }
+    }
+
+    private void finishStream() {
+        begin(head);
+        byte[] rest = cutter.map(EventCutter::rest).orElse(NOTHING);
+        if (write(ByteBuffer.wrap(rest)) && !unwritten.hasRemaining()) {
+            finish();
+        } else {
+            finishing = true;
+        }
+    }
+
+    private void finish() {
+        if (!closed) {
+            exchange.endExchange();
+        }
+    }
+
+    void refuse(Problem problem, Duration comeBackAfter) {
+        if (closed) {
+            return;
+        }
+        if (exchange.isResponseStarted()) {
+            breakOff();
+        } else {
+            problem.send(exchange, comeBackAfter);
+        }
+    }
+
+    /** Tells the caller that the outcome is unknown, or breaks off an answer that has begun. */
+    void fail(boolean timedOut) {
+        if (closed) {
+            return;
+        }
+        if (exchange.isResponseStarted()) {
+            breakOff();
+            return;
+        }
+        int status = timedOut ? StatusCodes.GATEWAY_TIME_OUT : StatusCodes.BAD_GATEWAY;
+        String type = timedOut ? "outcome-unknown:timeout" : "outcome-unknown:upstream-connection-lost";
+        new Problem(status, type, "The request may have run; nobody can tell.", "").send(exchange);
+    }
+
+    private void breakOff() {
+        ending = Ending.BROKEN_OFF;
+        IoUtils.safeClose(exchange.getConnection());
+    }
+
+    /** The caller's connection is closed, by it or because writing to it failed. Its attempt ends at once. */
+    void callerLeft() {
+        if (!closed) {
+            closed = true;
+            if (ending == Ending.ANSWERED) {
+                ending = Ending.CALLER_LEFT;
+            }
+            if (attempt != null) {
+                attempt.abandon();
+            }
+            events.accept(new GateEvent.CallerLeft(number));
+            IoUtils.safeClose(exchange.getConnection());
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -0,0 +1,174 @@
+package org.sassafrastrail.gateway;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
+import io.undertow.util.AttachmentKey;
+import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
+import org.sassafrastrail.gate.CallDescription;
+import org.sassafrastrail.gate.GateEvent;
+import org.sassafrastrail.gate.GateState;
+import org.sassafrastrail.gate.Route;
+import org.sassafrastrail.gate.RouteTable;
+import org.sassafrastrail.model.AccountName;
+import org.sassafrastrail.model.RefusalReason;
+import org.xnio.IoUtils;
+import org.xnio.XnioIoThread;
+
+/** Reads callers' requests whole, finds their route and account, and hands them to the control thread. */
+final class CallerFrontEnd implements HttpHandler {
+
+    /** Bodies that wait here at once; more would not fit into the process's memory. */
+    private static final long MOST_BODY_BYTES_AT_ONCE = 24L * 1024 * 1024;
+
+    private static final Duration COME_BACK_AFTER = Duration.ofMillis(500);
+    private static final Duration LONGEST_PATIENCE = Duration.ofMinutes(1);
+
+    private static final AttachmentKey<AtomicLong> CURRENT_CALL = AttachmentKey.create(AtomicLong.class);
+
+    private final CallerProtocol protocol;
+    private final Supplier<GateState> state;
+    private final Consumer<GateEvent> events;
+    private final Consumer<FinishedCall> finished;
+    private final Clock clock;
+    private final ByteBufferPool buffers;
+    private final AtomicLong numbers = new AtomicLong();
+    private final AtomicLong bodyBytes = new AtomicLong();
+    private final Map<Long, CallerExchange> calls = new ConcurrentHashMap<>();
+    private final Map<XnioIoThread, UpstreamConnections> connections = new ConcurrentHashMap<>();
+
+    CallerFrontEnd(
+            CallerProtocol protocol,
+            Supplier<GateState> state,
+            Consumer<GateEvent> events,
+            Consumer<FinishedCall> finished,
+            Clock clock,
+            ByteBufferPool buffers) {
+        this.protocol = protocol;
+        this.state = state;
+        this.events = events;
+        this.finished = finished;
+        this.clock = clock;
+        this.buffers = buffers;
+    }
+
+    Optional<CallerExchange> call(long number) {
+        return Optional.ofNullable(calls.get(number));
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        GateState known = state.get();
+        if (known.stoppingSince().isPresent()) {
+            exchange.setPersistent(false);
+        }
+        if (known.table().isEmpty()) {
+            refuse(exchange, StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.NO_CONFIGURATION);
+            return;
+        }
+        RouteTable table = known.table().get();
+        CallHead head = protocol.read(exchange.getRequestHeaders());
+        Optional<Route> route = table.route(head.host(), exchange.getRequestPath());
+        if (route.isEmpty()) {
+            refuse(exchange, StatusCodes.NOT_FOUND, RefusalReason.UNKNOWN_TARGET);
+            return;
+        }
+        Optional<AccountName> account = head.key().flatMap(table::account);
+        if (table.keysRequired() && !route.get().anonymous() && account.isEmpty()) {
+            refuse(exchange, StatusCodes.UNAUTHORIZED, RefusalReason.UNKNOWN_ACCOUNT);
+        } else if (head.request().isEmpty()) {
+            refuse(exchange, StatusCodes.BAD_REQUEST, RefusalReason.MALFORMED_REQUEST);
+        } else if (exchange.getRequestContentLength() > table.limits().bodyBytes()) {
+            refuse(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE, RefusalReason.BODY_TOO_LARGE);
+        } else if (bodyBytes.get() > MOST_BODY_BYTES_AT_ONCE) {
+            refuse(exchange, StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.ACCOUNT_QUEUE_FULL);
+        } else {
+            readBody(
+                    exchange,
+                    describe(head, route.get(), account),
+                    table.limits().bodyBytes());
+        }
+    }
+
+    private CallDescription describe(CallHead head, Route route, Optional<AccountName> account) {
+        Instant now = clock.instant();
+        Duration patience = head.patience().orElse(LONGEST_PATIENCE);
+        return new CallDescription(
+                head.request().orElseThrow(), route, account, head.prompt(), now, now.plus(patience));
+    }
+
+    private void readBody(HttpServerExchange exchange, CallDescription description, long largest) {
+        exchange.setMaxEntitySize(largest);
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (read, body) ->
+                                read.dispatch(SameThreadExecutor.INSTANCE, () -> arrived(read, description, body)),
+                        (read, failure) -> {
+                            if (read.isResponseStarted()) {
+                                IoUtils.safeClose(read.getConnection());
+                            } else {
+                                refuse(read, StatusCodes.REQUEST_ENTITY_TOO_LARGE, RefusalReason.BODY_TOO_LARGE);
+                            }
+                        });
+    }
+
+    private void arrived(HttpServerExchange exchange, CallDescription description, byte[] body) {
+        long number = numbers.incrementAndGet();
+        UpstreamConnections pool =
+                connections.computeIfAbsent(exchange.getIoThread(), thread -> new UpstreamConnections(thread, buffers));
+        CallerExchange call = new CallerExchange(exchange, number, description, body, protocol, pool, events);
+        calls.put(number, call);
+        bodyBytes.addAndGet(body.length);
+        exchange.addExchangeCompleteListener((done, next) -> {
+            end(number);
+            next.proceed();
+        });
+        watch(exchange.getConnection(), number);
+        events.accept(new GateEvent.CallArrived(number, description));
+    }
+
+    /** Notes which request a connection carries now. A connection gets one listener, however many requests it carries. */
+    private void watch(ServerConnection connection, long number) {
+        AtomicLong current = connection.getAttachment(CURRENT_CALL);
+        if (current == null) {
+            AtomicLong first = new AtomicLong(number);
+            connection.putAttachment(CURRENT_CALL, first);
+            connection.addCloseListener(closed -> left(first.get()));
+        } else {
+            current.set(number);
+        }
+    }
+
+    private void end(long number) {
+        CallerExchange call = calls.remove(number);
+        if (call != null) {
+            call.closed();
+            bodyBytes.addAndGet(-call.bodyBytes());
+            Duration took = Duration.between(call.description().arrivedAt(), clock.instant());
+            finished.accept(new FinishedCall(number, call.description(), call.status(), call.ending(), took));
+        }
+    }
+
+    private void left(long number) {
+        if (calls.containsKey(number)) {
+            calls.get(number).callerLeft();
+            end(number);
+        }
+    }
+
+    private static void refuse(HttpServerExchange exchange, int status, RefusalReason reason) {
+        Problems.refused(status, reason, "").send(exchange, COME_BACK_AFTER);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GateActions.java
@@ -0,0 +1,98 @@
+package org.sassafrastrail.gateway;
+
+import java.util.Locale;
+import java.util.function.Consumer;
+
+import io.undertow.util.StatusCodes;
+import org.sassafrastrail.gate.GateAction;
+import org.sassafrastrail.runtime.ActionExecutor;
+import org.sassafrastrail.runtime.EventLog;
+import org.sassafrastrail.runtime.LogField;
+import org.sassafrastrail.runtime.Metrics;
+
+/** Carries out the core's decisions on the traffic's threads, and logs each. */
+final class GateActions implements ActionExecutor<GateAction> {
+
+    private final CallerFrontEnd callers;
+    private final Runnable drained;
+    private final Metrics metrics;
+    private final EventLog log;
+
+    GateActions(CallerFrontEnd callers, Runnable drained, Metrics metrics, EventLog log) {
+        this.callers = callers;
+        this.drained = drained;
+        this.metrics = metrics;
+        this.log = log;
+    }
+
+    @Override
+    public void carryOut(GateAction action) {
+        if (action instanceof GateAction.Dispatch dispatch) {
+            dispatch(dispatch);
+        } else if (action instanceof GateAction.Refuse refuse) {
+            refuse(refuse);
+        } else if (action instanceof GateAction.DeliverKept deliver) {
+            log.info("upstream-failure-delivered", request(deliver.call()));
+            on(deliver.call(), CallerExchange::deliverKept);
+        } else if (action instanceof GateAction.Fail fail) {
+            metrics.count("outcome-unknown." + (fail.timedOut() ? "timeout" : "connection-lost"), 1);
+            log.info("outcome-unknown", request(fail.call()), LogField.of("timed-out", fail.timedOut()));
+            on(fail.call(), call -> call.fail(fail.timedOut()));
+        } else if (action instanceof GateAction.Abandon abandon) {
+            log.info("attempt-abandoned", request(abandon.call()), LogField.of("attempt", abandon.attempt()));
+            on(abandon.call(), call -> call.abandon(abandon.attempt()));
+        } else if (action instanceof GateAction.Believe believe) {
+            believe(believe);
+        } else if (action instanceof GateAction.InForce inForce) {
+            log.info("configuration-in-force", LogField.of("version", inForce.version()));
+        } else if (action instanceof GateAction.Drained) {
+            drained.run();
+        }
+    }
+
+    private void dispatch(GateAction.Dispatch dispatch) {
+        if (dispatch.attempt() > 1) {
+            metrics.count("attempts-repeated", 1);
+        }
+        log.info(
+                "dispatched",
+                request(dispatch.call()),
+                LogField.of("attempt", dispatch.attempt()),
+                LogField.of("upstream", dispatch.upstream().identifier()),
+                LogField.of("waited-ms", dispatch.waited().toMillis()),
+                LogField.of("left-ms", dispatch.timeLeft().toMillis()),
+                LogField.of("tokens-ahead", dispatch.promptTokensAhead()));
+        on(dispatch.call(), call -> call.dispatch(dispatch));
+    }
+
+    private void refuse(GateAction.Refuse refuse) {
+        metrics.count("refused", refuse.reason());
+        log.info("refused", request(refuse.call()), LogField.of("reason", refuse.reason()));
+        on(
+                refuse.call(),
+                call -> call.refuse(
+                        Problems.refused(
+                                StatusCodes.SERVICE_UNAVAILABLE,
+                                refuse.reason(),
+                                call.description().request()),
+                        refuse.comeBackAfter()));
+    }
+
+    private void believe(GateAction.Believe believe) {
+        metrics.count("upstream", believe.belief());
+        log.info(
+                "upstream-" + believe.belief().name().toLowerCase(Locale.ROOT),
+                LogField.of("upstream", believe.upstream()),
+                LogField.of("detail", believe.detail()));
+    }
+
+    private LogField request(long number) {
+        return LogField.of(
+                "request",
+                callers.call(number).map(call -> call.description().request()).orElse("gone:" + number));
+    }
+
+    private void on(long number, Consumer<CallerExchange> work) {
+        callers.call(number).ifPresent(call -> call.run(() -> work.accept(call)));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/Surroundings.java
@@ -0,0 +1,18 @@
+package org.sassafrastrail.gateway;
+
+import java.util.function.Consumer;
+
+import org.sassafrastrail.gate.GateEvent;
+
+/** Where configurations, upstreams and other gateways are learnt from. */
+@FunctionalInterface
+public interface Surroundings {
+
+    /**
+     * Starts to tell what is learnt.
+     *
+     * @param listener takes each piece of news, on any thread
+     * @return stops telling
+     */
+    Runnable tell(Consumer<GateEvent> listener);
+}
--- a/http/src/main/java/org/sassafrastrail/http/Problem.java
+++ b/http/src/main/java/org/sassafrastrail/http/Problem.java
@@ -1,5 +1,8 @@
 package org.sassafrastrail.http;
 
+import java.math.BigDecimal;
+import java.time.Duration;
+
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
@@ -14,6 +17,8 @@
  */
 public record Problem(int status, String type, String detail, String request) {
 
+    private static final Duration COME_BACK_AFTER = Duration.ofSeconds(1);
+    private static final int MILLISECOND_DIGITS = 3;
     private static final String TYPE_PREFIX = "urn:sassafrastrail:problem:";
 
     /**
@@ -22,14 +27,31 @@
      * @param exchange the exchange
      */
     public void send(HttpServerExchange exchange) {
+        send(exchange, COME_BACK_AFTER);
+    }
+
+    /**
+     * Sends the problem as the answer and ends the exchange.
+     *
+     * @param exchange the exchange
+     * @param comeBackAfter when a refused caller may try again
+     */
+    public void send(HttpServerExchange exchange, Duration comeBackAfter) {
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/problem+json");
         if (status == StatusCodes.SERVICE_UNAVAILABLE || status == StatusCodes.TOO_MANY_REQUESTS) {
-            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, "1");
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, seconds(comeBackAfter));
         }
         exchange.getResponseSender().send(json());
     }
 
+    /** Whole seconds where they are whole, and otherwise with a fraction, which careful callers understand. */
+    private static String seconds(Duration duration) {
+        return BigDecimal.valueOf(duration.toMillis(), MILLISECOND_DIGITS)
+                .stripTrailingZeros()
+                .toPlainString();
+    }
+
     /** The parts hold no characters that JSON would have to escape: names, fixed sentences and checked identifiers. */
     private String json() {
         return "{\"type\":\"" + TYPE_PREFIX + type + "\",\"status\":" + status + ",\"detail\":\"" + detail
--- a/model/src/main/java/org/sassafrastrail/model/RefusalReason.java
+++ b/model/src/main/java/org/sassafrastrail/model/RefusalReason.java
@@ -25,5 +25,9 @@
     /** Upstreams refused the request and the retry budget is spent. */
     RETRY_BUDGET_SPENT,
     /** The caller closed the connection while the request waited. */
-    CALLER_GONE
+    CALLER_GONE,
+    /** The request waited as long as is useful and no upstream had a place for it. */
+    HELD_TOO_LONG,
+    /** Every upstream that was tried said that it did not run the request, or could not be reached. */
+    UPSTREAM_DECLINED
 }
--- a/router/src/main/java/org/sassafrastrail/router/Problems.java
+++ b/router/src/main/java/org/sassafrastrail/router/Problems.java
@@ -24,7 +24,9 @@
             Map.entry(RefusalReason.IDEMPOTENCY_KEY_CLAIMED, StatusCodes.CONFLICT),
             Map.entry(RefusalReason.IDEMPOTENCY_STORE_UNAVAILABLE, StatusCodes.SERVICE_UNAVAILABLE),
             Map.entry(RefusalReason.RETRY_BUDGET_SPENT, StatusCodes.SERVICE_UNAVAILABLE),
-            Map.entry(RefusalReason.CALLER_GONE, StatusCodes.SERVICE_UNAVAILABLE));
+            Map.entry(RefusalReason.CALLER_GONE, StatusCodes.SERVICE_UNAVAILABLE),
+            Map.entry(RefusalReason.HELD_TOO_LONG, StatusCodes.SERVICE_UNAVAILABLE),
+            Map.entry(RefusalReason.UPSTREAM_DECLINED, StatusCodes.SERVICE_UNAVAILABLE));
 
     private Problems() {}
 
--- /dev/null
+++ b/runtime/src/main/java/org/sassafrastrail/runtime/SteadyClock.java
@@ -0,0 +1,38 @@
+package org.sassafrastrail.runtime;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+
+/** A clock that starts at the time of day and then only follows the steady clock, so it never jumps. */
+public final class SteadyClock extends Clock {
+
+    private final Instant start;
+    private final long startNanos;
+
+    /**
+     * Starts the clock.
+     *
+     * @param timeOfDay gives the time that it starts at
+     */
+    public SteadyClock(Clock timeOfDay) {
+        this.start = timeOfDay.instant();
+        this.startNanos = System.nanoTime();
+    }
+
+    @Override
+    public ZoneId getZone() {
+        return ZoneOffset.UTC;
+    }
+
+    @Override
+    public Clock withZone(ZoneId zone) {
+        throw new UnsupportedOperationException("a steady clock has no other zones");
+    }
+
+    @Override
+    public Instant instant() {
+        return start.plusNanos(System.nanoTime() - startNanos);
+    }
+}
