Test the gateway's decisions event by event

The test of a new life under an old identifier failed first: an attempt at the earlier life, when it ended, took one off the new life's running requests, which went to -1. An attempt now knows the life that it was sent to.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/Attempt.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Attempt.java
@@ -8,7 +8,7 @@
  * @param tokensToRead the tokens of its prompt that the upstream is believed not to have cached
  * @param reading whether the upstream has not begun to answer
  */
-record Attempt(int number, UpstreamIdentifier upstream, long tokensToRead, boolean reading) {
+record Attempt(int number, Upstream upstream, long tokensToRead, boolean reading) {
 
     Attempt answering() {
         return new Attempt(number, upstream, tokensToRead, false);
--- a/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
@@ -29,7 +29,7 @@
     private Transition<GateState, GateAction> began(GateState state, Call call, Instant now) {
         Attempt attempt = call.attempt().orElseThrow();
         GateState answering = state.with(call.answering());
-        GateState read = Optional.ofNullable(state.upstreams().get(attempt.upstream()))
+        GateState read = state.upstreamOf(attempt)
                 .map(upstream -> answering.with(upstream.hasRead(attempt)))
                 .orElse(answering);
         return scheduler.send(read, call.target(), now);
@@ -46,11 +46,14 @@
 
     /** Learns about the upstream from the result. */
     private Transition<GateState, GateAction> judge(GateState state, Call call, AttemptResult result, Instant now) {
-        UpstreamState upstream =
-                state.upstreams().get(call.attempt().orElseThrow().upstream());
-        if (upstream == null || result instanceof AttemptResult.Declined) {
-            return Transition.stay(state);
-        }
+        return state.upstreamOf(call.attempt().orElseThrow())
+                .filter(upstream -> !(result instanceof AttemptResult.Declined))
+                .map(upstream -> judge(state, upstream, result, now))
+                .orElseGet(() -> Transition.stay(state));
+    }
+
+    private Transition<GateState, GateAction> judge(
+            GateState state, UpstreamState upstream, AttemptResult result, Instant now) {
         if (result instanceof AttemptResult.Delivered || result instanceof AttemptResult.Failed) {
             return Transition.stay(state.with(upstream.succeeded()));
         }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Call.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Call.java
@@ -46,7 +46,7 @@
                 next.number(),
                 sent + 1,
                 Optional.of(next),
-                tried.plus(next.upstream()),
+                tried.plus(next.upstream().identifier()),
                 failureKept,
                 mayHaveRun);
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Optional;
 
 import org.sassafrastrail.decision.Transition;
 import org.sassafrastrail.model.RefusalReason;
@@ -45,8 +44,7 @@
     /** Takes the request's attempt, if there is one, off the upstream's load. */
     static GateState release(GateState state, Call call) {
         return call.attempt()
-                .flatMap(attempt -> Optional.ofNullable(state.upstreams().get(attempt.upstream()))
-                        .map(upstream -> state.with(upstream.ended(attempt))))
+                .flatMap(attempt -> state.upstreamOf(attempt).map(upstream -> state.with(upstream.ended(attempt))))
                 .orElse(state);
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GateState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateState.java
@@ -82,6 +82,12 @@
         return waiting.stream().map(calls::get);
     }
 
+    /** The state of the life of an upstream that an attempt was sent to, unless that life is over. */
+    Optional<UpstreamState> upstreamOf(Attempt attempt) {
+        return Optional.ofNullable(upstreams.get(attempt.upstream().identifier()))
+                .filter(known -> known.upstream().sameLife(attempt.upstream()));
+    }
+
     GateState with(RouteTable next) {
         return new GateState(
                 Optional.of(next), upstreams, calls, waiting, domainsOut, gateways, usage, budgets, stoppingSince);
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -82,8 +82,7 @@
 
     private static Transition<GateState, GateAction> dispatch(
             GateState state, Call call, Placement.Place place, Instant now) {
-        Attempt attempt =
-                new Attempt(call.attempts() + 1, place.upstream().upstream().identifier(), place.tokensToRead(), true);
+        Attempt attempt = new Attempt(call.attempts() + 1, place.upstream().upstream(), place.tokensToRead(), true);
         Call sent = call.sentTo(attempt);
         GateState charged = call.attempts() == 0
                 ? state.with(state.usage()
--- /dev/null
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GateCoreTest.java
@@ -0,0 +1,234 @@
+package org.sassafrastrail.gate;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+
+import org.junit.jupiter.api.Test;
+import org.sassafrastrail.model.RefusalReason;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** The decisions of a gateway, event by event. */
+class GateCoreTest {
+
+    private static final Route BOOK = Gate.route("book", Gate.DESK, false, false, 1);
+    private static final Route LIST = Gate.route("list", Gate.DESK, true, false, 2);
+    private static final Route TELL = Gate.route("tell", Gate.MODEL, false, true, 1);
+
+    private final Gate gate = new Gate();
+
+    private void registerDesks() {
+        gate.register(Gate.upstream("one", Gate.DESK), Gate.upstream("two", Gate.DESK));
+    }
+
+    private void registerEngines() {
+        gate.register(Gate.upstream("one", Gate.MODEL), Gate.upstream("two", Gate.MODEL));
+    }
+
+    @Test
+    void plainRequestsSpread() {
+        registerDesks();
+        assertThat(Gate.sentTo(gate.arrive(1, BOOK))).isPresent().isNotEqualTo(Gate.sentTo(gate.arrive(2, BOOK)));
+    }
+
+    @Test
+    void everyGatewaySendsASessionToTheSameEngine() {
+        registerEngines();
+        Gate other = new Gate();
+        other.register(Gate.upstream("two", Gate.MODEL), Gate.upstream("one", Gate.MODEL));
+        IntStream.range(0, 20).forEach(session -> {
+            Prompt prompt = Gate.prompt("session-" + session, 3000, 4000);
+            String here =
+                    Gate.sentTo(gate.arrive(session, TELL, prompt, "account")).orElseThrow();
+            gate.end(session, 1, new AttemptResult.Delivered());
+            assertThat(Gate.sentTo(other.arrive(session, TELL, prompt, "account")))
+                    .contains(here);
+            other.end(session, 1, new AttemptResult.Delivered());
+        });
+    }
+
+    @Test
+    void aRequestWaitsWhenEveryEngineHasTooMuchToRead() {
+        registerEngines();
+        Prompt prompt = Gate.prompt("session", 3000, 40_000);
+        assertThat(Gate.sentTo(gate.arrive(1, TELL, prompt, "account"))).isPresent();
+        assertThat(Gate.sentTo(gate.arrive(2, TELL, prompt, "account"))).isPresent();
+        assertThat(gate.arrive(3, TELL, prompt, "account")).isEmpty();
+        assertThat(Gate.sentTo(gate.handle(new GateEvent.AnswerBegan(1, 1)))).isPresent();
+    }
+
+    @Test
+    void theAccountThatGotLeastGoesFirst() {
+        registerEngines();
+        Prompt prompt = Gate.prompt("session", 3000, 40_000);
+        gate.arrive(1, TELL, prompt, "greedy");
+        gate.arrive(2, TELL, prompt, "greedy");
+        gate.arrive(3, TELL, prompt, "greedy");
+        gate.arrive(4, TELL, prompt, "modest");
+        List<GateAction> actions = gate.handle(new GateEvent.AnswerBegan(1, 1));
+        assertThat(Gate.only(actions, GateAction.Dispatch.class).orElseThrow().call())
+                .isEqualTo(4);
+    }
+
+    @Test
+    void anUpstreamThatLeavesOrIsGoneOrInADomainOutGetsNothing() {
+        gate.register(Gate.leaving(Gate.upstream("one", Gate.DESK)));
+        assertThat(gate.arrive(1, BOOK)).isEmpty();
+        gate.unregister("one");
+        gate.register(Gate.upstream("two", Gate.DESK));
+        assertThat(Gate.sentTo(gate.arrive(2, BOOK))).contains("two");
+        gate.out("domain-two");
+        assertThat(gate.arrive(3, BOOK)).isEmpty();
+        gate.register(Gate.upstream("three", Gate.DESK));
+        assertThat(Gate.sentTo(gate.arrive(4, BOOK))).contains("three");
+    }
+
+    @Test
+    void aRequestThatMayHaveRunIsNotTriedAgain() {
+        registerDesks();
+        gate.arrive(1, BOOK);
+        List<GateAction> actions = gate.end(1, 1, new AttemptResult.Lost());
+        assertThat(actions).containsExactly(new GateAction.Fail(1, false));
+    }
+
+    @Test
+    void aRequestThatDidNotRunIsRefusedWhenNoAttemptIsLeft() {
+        registerDesks();
+        gate.arrive(1, BOOK);
+        assertThat(gate.end(1, 1, new AttemptResult.Declined()))
+                .containsExactly(
+                        new GateAction.Refuse(1, RefusalReason.UPSTREAM_DECLINED, Gate.LIMITS.comeBackAfter()));
+    }
+
+    @Test
+    void aRequestThatNeverLeftGoesToAnotherUpstream() {
+        registerDesks();
+        String first = Gate.sentTo(gate.arrive(1, BOOK)).orElseThrow();
+        assertThat(Gate.sentTo(gate.end(1, 1, new AttemptResult.NotConnected())))
+                .isPresent()
+                .isNotEqualTo(java.util.Optional.of(first));
+    }
+
+    @Test
+    void aRepeatableRequestIsTriedOnceMoreAndThenGetsTheFailure() {
+        registerDesks();
+        String first = Gate.sentTo(gate.arrive(1, LIST)).orElseThrow();
+        String second = Gate.sentTo(gate.end(1, 1, new AttemptResult.Failed())).orElseThrow();
+        assertThat(second).isNotEqualTo(first);
+        assertThat(gate.end(1, 2, new AttemptResult.Failed())).containsExactly(new GateAction.DeliverKept(1));
+    }
+
+    @Test
+    void repeatsStayWithinTheirBudget() {
+        registerDesks();
+        long repeated = LongStream.range(0, 100)
+                .filter(number -> {
+                    gate.arrive(number, LIST);
+                    boolean again = Gate.sentTo(gate.end(number, 1, new AttemptResult.Failed()))
+                            .isPresent();
+                    gate.end(number, 2, new AttemptResult.Delivered());
+                    return again;
+                })
+                .count();
+        double allowed = 100 * Gate.LIMITS.repeatShare() + Gate.LIMITS.repeatExtra();
+        assertThat(repeated).isPositive().isLessThanOrEqualTo(Math.round(allowed));
+    }
+
+    @Test
+    void aRequestThatWaitsTooLongIsRefusedWithATimeToComeBack() {
+        gate.arrive(1, BOOK);
+        assertThat(gate.pass(Duration.ofMillis(150))).isEmpty();
+        assertThat(gate.pass(Duration.ofMillis(60)))
+                .containsExactly(new GateAction.Refuse(1, RefusalReason.HELD_TOO_LONG, Gate.LIMITS.comeBackAfter()));
+    }
+
+    @Test
+    void aRequestThatRunsPastItsRoutesTimeIsAbandonedAndAnswered() {
+        registerDesks();
+        gate.arrive(1, BOOK);
+        assertThat(gate.pass(Duration.ofMillis(1999))).isEmpty();
+        assertThat(gate.pass(Duration.ofMillis(1)))
+                .containsExactly(new GateAction.Abandon(1, 1), new GateAction.Fail(1, true));
+        assertThat(gate.state().hasCalls()).isFalse();
+    }
+
+    @Test
+    void aCallersLeaveEndsTheAttempt() {
+        registerDesks();
+        gate.arrive(1, BOOK);
+        assertThat(gate.handle(new GateEvent.CallerLeft(1))).containsExactly(new GateAction.Abandon(1, 1));
+        assertThat(gate.end(1, 1, new AttemptResult.Lost())).isEmpty();
+    }
+
+    @Test
+    void aColdUpstreamGetsItsShareOfWhatItBears() {
+        gate.handle(new GateEvent.GatewaysCounted(4));
+        gate.register(Gate.cold(Gate.upstream("one", Gate.MODEL), Duration.ofSeconds(3)));
+        long allowed = Math.round(Math.floor((10 * 1.5 + 5) / 4));
+        long sent = LongStream.range(0, 20)
+                .filter(number -> {
+                    boolean gone = Gate.sentTo(gate.arrive(number, TELL, Gate.prompt("s", 10, 20), "account"))
+                            .isPresent();
+                    gate.end(number, 1, new AttemptResult.Delivered());
+                    return gone;
+                })
+                .count();
+        assertThat(sent).isEqualTo(allowed);
+    }
+
+    @Test
+    void anUpstreamThatFailsInARowGetsNothingForAWhile() {
+        gate.register(Gate.upstream("one", Gate.DESK));
+        IntStream.range(0, Gate.LIMITS.ejectAfter()).forEach(number -> {
+            gate.arrive(number, BOOK);
+            gate.end(number, 1, new AttemptResult.Lost());
+        });
+        assertThat(gate.arrive(10, BOOK)).isEmpty();
+        gate.handle(new GateEvent.CallerLeft(10));
+        assertThat(gate.pass(Gate.LIMITS.ejectFor()))
+                .containsExactly(
+                        new GateAction.Believe(new UpstreamIdentifier("one"), Belief.BACK, "the time out is over"));
+        assertThat(Gate.sentTo(gate.arrive(11, BOOK))).contains("one");
+    }
+
+    @Test
+    void anOlderConfigurationIsNotTakenBack() {
+        assertThat(gate.handle(new GateEvent.RoutesRead(Gate.table(5)))).containsExactly(new GateAction.InForce(5));
+        assertThat(gate.handle(new GateEvent.RoutesRead(Gate.table(4)))).isEmpty();
+        assertThat(gate.state().table().orElseThrow().version()).isEqualTo(5);
+    }
+
+    @Test
+    void aNewLifeUnderAnOldIdentifierStartsAnew() {
+        gate.register(Gate.cold(Gate.upstream("one", Gate.MODEL), Duration.ofSeconds(3)));
+        gate.arrive(1, TELL, Gate.prompt("s", 10, 20), "account");
+        Upstream reborn = Gate.upstream("one", Gate.MODEL);
+        gate.register(new Upstream(
+                reborn.identifier(),
+                reborn.target(),
+                reborn.host(),
+                reborn.port(),
+                reborn.domain(),
+                reborn.version(),
+                reborn.places(),
+                false,
+                Duration.ZERO,
+                reborn.born() + 1));
+        assertThat(gate.state().upstreams().get(reborn.identifier()).running()).isZero();
+        gate.end(1, 1, new AttemptResult.Lost());
+        assertThat(gate.state().upstreams().get(reborn.identifier()).running()).isZero();
+    }
+
+    @Test
+    void aStoppingGatewayEndsWhenNothingRuns() {
+        registerDesks();
+        gate.arrive(1, BOOK);
+        gate.handle(new GateEvent.StopRequested());
+        assertThat(gate.state().ready()).isFalse();
+        assertThat(gate.pass(Gate.LIMITS.drainAtLeast())).isEmpty();
+        gate.end(1, 1, new AttemptResult.Delivered());
+        assertThat(gate.pass(Duration.ofMillis(1))).containsExactly(new GateAction.Drained());
+    }
+}
