Wait for the bytes of a chunk whose length came alone

Cause: reading an answer gave up when the first bytes that came were framing only. Ruled out: the store being down, because other tables were read. UndertowCallerTest failed without the change (no more of the answer came in time) and passes with it.

--- a/http/src/main/java/org/sassafrastrail/http/UndertowAnswer.java
+++ b/http/src/main/java/org/sassafrastrail/http/UndertowAnswer.java
@@ -72,10 +72,14 @@
                 return -1;
             }
             ByteBuffer buffer = ByteBuffer.wrap(target, offset, length);
+            long until = System.nanoTime() + patience.toNanos();
             int count = channel.read(buffer);
-            if (count == 0) {
-                channel.awaitReadable(patience.toMillis(), TimeUnit.MILLISECONDS);
+            long left = patience.toNanos();
+            while (count == 0 && left > 0) {
+                // What arrives may be framing only, such as the length of a chunk whose bytes are still under way.
+                channel.awaitReadable(left, TimeUnit.NANOSECONDS);
                 count = channel.read(buffer);
+                left = until - System.nanoTime();
             }
             return arrived(count);
         }
--- /dev/null
+++ b/http/src/test/java/org/sassafrastrail/http/UndertowCallerTest.java
@@ -0,0 +1,78 @@
+package org.sassafrastrail.http;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** The caller against a server that writes its bytes one piece at a time. */
+class UndertowCallerTest {
+
+    private static final Duration PATIENCE = Duration.ofSeconds(5);
+    private static final long PAUSE_MILLISECONDS = 60;
+
+    private final UndertowCaller caller = new UndertowCaller(1);
+
+    @BeforeEach
+    void start() {
+        caller.start();
+    }
+
+    @AfterEach
+    void stop() {
+        caller.stop();
+    }
+
+    @Test
+    void aChunkWhoseLengthComesBeforeItsBytesIsWaitedFor() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<Void> served = CompletableFuture.runAsync(() -> serve(
+                    server,
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    "5\r\n",
+                    "whole",
+                    "\r\n",
+                    "7\r\n",
+                    " answer",
+                    "\r\n0\r\n\r\n"));
+            HttpResult result = caller.call(HttpCall.get("127.0.0.1", server.getLocalPort(), "/", PATIENCE));
+            try (HttpAnswer answer = ((HttpResult.Answered) result).answer()) {
+                assertThat(new String(answer.body().readAllBytes(), StandardCharsets.UTF_8))
+                        .isEqualTo("whole answer");
+            }
+            served.get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+        }
+    }
+
+    private static void serve(ServerSocket server, String... pieces) {
+        try (Socket socket = server.accept()) {
+            BufferedReader request =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            String line = request.readLine();
+            while (line != null && !line.isEmpty()) {
+                line = request.readLine();
+            }
+            OutputStream output = socket.getOutputStream();
+            for (String piece : pieces) {
+                output.write(piece.getBytes(StandardCharsets.UTF_8));
+                output.flush();
+                TimeUnit.MILLISECONDS.sleep(PAUSE_MILLISECONDS);
+            }
+        } catch (IOException | InterruptedException failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+}
