Notice callers that leave, and let a stopping gateway empty itself

Now: the gateway takes the connection's read side while a request is under way (LeaveWatch), keeps bytes of an early next request for then, closes the connections that are idle and turns new ones away 2.7 s after it was told to stop, and sends nothing to an upstream once the caller's time is up.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/CallDescription.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CallDescription.java
@@ -23,8 +23,12 @@
         Instant arrivedAt,
         Instant deadline) {
 
-    /** When the request gets its final answer at the latest. */
-    Instant giveUpAt() {
+    /**
+     * Tells when the request gets its final answer at the latest.
+     *
+     * @return the earlier of the caller's deadline and the end of its route's timeout
+     */
+    public Instant giveUpAt() {
         Instant timeout = arrivedAt.plus(route.timeout());
         return timeout.isBefore(deadline) ? timeout : deadline;
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.time.Clock;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -38,6 +39,7 @@
     private final CallerProtocol protocol;
     private final UpstreamConnections connections;
     private final Consumer<GateEvent> events;
+    private final Clock clock;
     private final Optional<EventCutter> cutter;
 
     private UpstreamAttempt attempt;
@@ -53,19 +55,19 @@
 
     CallerExchange(
             HttpServerExchange exchange,
-            long number,
-            CallDescription description,
-            byte[] body,
+            CallerRequest request,
             CallerProtocol protocol,
             UpstreamConnections connections,
-            Consumer<GateEvent> events) {
+            Consumer<GateEvent> events,
+            Clock clock) {
         this.exchange = exchange;
-        this.number = number;
-        this.description = description;
-        this.body = body;
+        this.number = request.number();
+        this.description = request.description();
+        this.body = request.body();
         this.protocol = protocol;
         this.connections = connections;
         this.events = events;
+        this.clock = clock;
         this.cutter = description.route().resumable() ? Optional.of(new EventCutter()) : Optional.empty();
     }
 
@@ -101,9 +103,16 @@
         if (closed) {
             return;
         }
+        Duration left = Duration.between(clock.instant(), description.giveUpAt());
+        if (left.isNegative() || left.isZero()) {
+            // The decision came late, on a machine that is slow or was frozen: nothing is sent any more.
+            attemptNumber = dispatch.attempt();
+            ended(new AttemptResult.NotConnected());
+            return;
+        }
         Optional<String> resumeAfter = sink == null ? Optional.empty() : cutter.flatMap(EventCutter::lastIdentifier);
-        HeaderMap headers = protocol.toUpstream(
-                exchange.getRequestHeaders(), description, dispatch.upstream(), dispatch.timeLeft(), resumeAfter);
+        HeaderMap headers =
+                protocol.toUpstream(exchange.getRequestHeaders(), description, dispatch.upstream(), left, resumeAfter);
         ClientRequest message =
                 new ClientRequest().setMethod(exchange.getRequestMethod()).setPath(target());
         headers.forEach(header -> message.getRequestHeaders().addAll(header.getHeaderName(), header));
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -47,6 +47,7 @@
     private final AtomicLong numbers = new AtomicLong();
     private final AtomicLong bodyBytes = new AtomicLong();
     private final Map<Long, CallerExchange> calls = new ConcurrentHashMap<>();
+    private final Map<ServerConnection, AtomicLong> open = new ConcurrentHashMap<>();
     private final Map<XnioIoThread, UpstreamConnections> connections = new ConcurrentHashMap<>();
 
     CallerFrontEnd(
@@ -128,7 +129,8 @@
         long number = numbers.incrementAndGet();
         UpstreamConnections pool =
                 connections.computeIfAbsent(exchange.getIoThread(), thread -> new UpstreamConnections(thread, buffers));
-        CallerExchange call = new CallerExchange(exchange, number, description, body, protocol, pool, events);
+        CallerRequest request = new CallerRequest(number, description, body);
+        CallerExchange call = new CallerExchange(exchange, request, protocol, pool, events, clock);
         calls.put(number, call);
         bodyBytes.addAndGet(body.length);
         exchange.addExchangeCompleteListener((done, next) -> {
@@ -136,6 +138,7 @@
             next.proceed();
         });
         watch(exchange.getConnection(), number);
+        LeaveWatch.watch(exchange, () -> left(number));
         events.accept(new GateEvent.CallArrived(number, description));
     }
 
@@ -145,12 +148,25 @@
         if (current == null) {
             AtomicLong first = new AtomicLong(number);
             connection.putAttachment(CURRENT_CALL, first);
-            connection.addCloseListener(closed -> left(first.get()));
+            open.put(connection, first);
+            connection.addCloseListener(closed -> {
+                open.remove(closed);
+                left(first.get());
+            });
         } else {
             current.set(number);
         }
     }
 
+    /** Closes the connections that carry no request now. */
+    void closeIdle() {
+        open.forEach((connection, current) -> connection.getIoThread().execute(() -> {
+            if (!calls.containsKey(current.get())) {
+                IoUtils.safeClose(connection);
+            }
+        }));
+    }
+
     private void end(long number) {
         CallerExchange call = calls.remove(number);
         if (call != null) {
--- /dev/null
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerListener.java
@@ -0,0 +1,78 @@
+package org.sassafrastrail.gateway;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import org.sassafrastrail.runtime.Service;
+import org.sassafrastrail.runtime.ServiceFailure;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/** Listens on one address. New connections can be turned away while those that are open are still served. */
+final class CallerListener implements Service {
+
+    private static final int LARGEST_HEADERS_BYTES = 64 * 1024;
+    private static final int LONGEST_HEADER_MILLISECONDS = 5_000;
+    private static final int BACKLOG = 1_024;
+
+    /** Longer than any caller keeps a connection idle, so that none is closed under a request. */
+    private static final int LONGEST_IDLE_MILLISECONDS = 60_000;
+
+    private final String address;
+    private final XnioWorker worker;
+    private final HttpOpenListener listener;
+    private AcceptingChannel<? extends StreamConnection> server;
+
+    CallerListener(String address, XnioWorker worker, ByteBufferPool buffers, HttpHandler handler) {
+        this.address = address;
+        this.worker = worker;
+        this.listener = new HttpOpenListener(
+                buffers,
+                OptionMap.builder()
+                        .set(UndertowOptions.MAX_HEADER_SIZE, LARGEST_HEADERS_BYTES)
+                        .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, LONGEST_HEADER_MILLISECONDS)
+                        .set(UndertowOptions.NO_REQUEST_TIMEOUT, LONGEST_IDLE_MILLISECONDS)
+                        .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                        .getMap());
+        listener.setRootHandler(handler);
+    }
+
+    @Override
+    public void start() {
+        int colon = address.lastIndexOf(':');
+        InetSocketAddress place =
+                new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        OptionMap options = OptionMap.builder()
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.REUSE_ADDRESSES, true)
+                .set(Options.BACKLOG, BACKLOG)
+                .getMap();
+        try {
+            server =
+                    worker.createStreamConnectionServer(place, ChannelListeners.openListenerAdapter(listener), options);
+            server.resumeAccepts();
+        } catch (IOException taken) {
+            throw new ServiceFailure("HTTP port " + address, taken);
+        }
+    }
+
+    /** Turns new connections away. */
+    void stopAccepting() {
+        IoUtils.safeClose(server);
+    }
+
+    @Override
+    public void stop() {
+        stopAccepting();
+        listener.closeConnections();
+    }
+}
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -1,15 +1,13 @@
 package org.sassafrastrail.gateway;
 
+import java.io.IOException;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
-import io.undertow.Undertow;
-import io.undertow.UndertowOptions;
 import io.undertow.server.DefaultByteBufferPool;
-import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.StatusCodes;
 import org.sassafrastrail.gate.GateAction;
@@ -24,16 +22,18 @@
 import org.sassafrastrail.runtime.Service;
 import org.sassafrastrail.runtime.ServiceFailure;
 import org.sassafrastrail.runtime.Ticker;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
 
 /** The gateway as a process: callers' and readiness listeners, the control thread, and what it learns from around it. */
 public final class GatewayDaemon implements Service {
 
     private static final Duration TICK = Duration.ofMillis(25);
-    private static final int LARGEST_HEADERS_BYTES = 64 * 1024;
-    private static final int LONGEST_HEADER_MILLISECONDS = 5_000;
 
-    /** Longer than any caller keeps a connection idle, so that none is closed under a request. */
-    private static final int LONGEST_IDLE_MILLISECONDS = 60_000;
+    /** The platform asks every second and needs two misses; one second more lets callers' connections arrive. */
+    private static final Duration ACCEPTING_WHILE_STOPPING = Duration.ofMillis(2700);
 
     private static final int BUFFER_BYTES = 16 * 1024;
 
@@ -44,7 +44,10 @@
     private final CountDownLatch drained = new CountDownLatch(1);
     private final ControlLoop<GateState, GateEvent, GateAction> control;
     private final Ticker ticker;
-    private final Undertow server;
+    private final XnioWorker worker;
+    private final CallerFrontEnd callers;
+    private final CallerListener entrance;
+    private final CallerListener pages;
     private Runnable stopTelling = () -> {};
 
     /**
@@ -59,7 +62,8 @@
         this.settings = settings;
         this.surroundings = surroundings;
         DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
-        CallerFrontEnd callers = new CallerFrontEnd(protocol, this::state, this::post, this::finished, clock, buffers);
+        this.worker = worker();
+        this.callers = new CallerFrontEnd(protocol, this::state, this::post, this::finished, clock, buffers);
         GateActions actions = new GateActions(callers, drained::countDown, metrics, log);
         this.control = new ControlLoop<>(
                 "control",
@@ -69,30 +73,22 @@
                 clock,
                 log);
         this.ticker = new Ticker(TICK, this::busy, () -> post(new GateEvent.Ticked()), log);
-        this.server = server(callers);
+        this.entrance = new CallerListener(settings.callers(), worker, buffers, callers);
+        this.pages = new CallerListener(settings.readiness(), worker, buffers, this::page);
     }
 
-    private Undertow server(CallerFrontEnd callers) {
-        return Undertow.builder()
-                .setIoThreads(1)
-                .setWorkerThreads(1)
-                .setBufferSize(BUFFER_BYTES)
-                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, LARGEST_HEADERS_BYTES)
-                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, LONGEST_HEADER_MILLISECONDS)
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, LONGEST_IDLE_MILLISECONDS)
-                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-                .addListener(listener(settings.callers(), callers))
-                .addListener(listener(settings.readiness(), this::page))
-                .build();
-    }
-
-    private static Undertow.ListenerBuilder listener(String address, HttpHandler handler) {
-        int colon = address.lastIndexOf(':');
-        return new Undertow.ListenerBuilder()
-                .setType(Undertow.ListenerType.HTTP)
-                .setHost(address.substring(0, colon))
-                .setPort(Integer.parseInt(address.substring(colon + 1)))
-                .setRootHandler(handler);
+    private static XnioWorker worker() {
+        try {
+            return Xnio.getInstance()
+                    .createWorker(OptionMap.builder()
+                            .set(Options.WORKER_IO_THREADS, 1)
+                            .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                            .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                            .set(Options.TCP_NODELAY, true)
+                            .getMap());
+        } catch (IOException failure) {
+            throw new ServiceFailure("input and output threads", failure);
+        }
     }
 
     private void page(HttpServerExchange exchange) {
@@ -135,28 +131,40 @@
         control.start();
         ticker.start();
         stopTelling = surroundings.tell(this::post);
-        try {
-            server.start();
-        } catch (RuntimeException taken) {
-            throw new ServiceFailure("gateway " + settings.callers(), taken);
-        }
+        pages.start();
+        entrance.start();
         log.info("started", LogField.of("node", settings.node()), LogField.of("callers", settings.callers()));
     }
 
-    /** Stops gracefully: callers' open connections are served until nothing runs, at most as long as the grace lasts. */
+    /**
+     * Stops gracefully: says at once that it is not ready, turns new connections away once the platform has had time to
+     * notice, closes those that are idle, and ends when nothing runs, at most as long as the grace lasts.
+     */
     @Override
     public void stop() {
         log.info("stopping", LogField.of("node", settings.node()));
         post(new GateEvent.StopRequested());
-        try {
-            drained.await(settings.limits().drainAtMost().toMillis(), TimeUnit.MILLISECONDS);
-        } catch (InterruptedException impatient) {
-            Thread.currentThread().interrupt();
+        boolean early = awaitDrained(ACCEPTING_WHILE_STOPPING);
+        entrance.stopAccepting();
+        callers.closeIdle();
+        if (!early) {
+            awaitDrained(settings.limits().drainAtMost().minus(ACCEPTING_WHILE_STOPPING));
         }
         stopTelling.run();
-        server.stop();
+        entrance.stop();
+        pages.stop();
         ticker.stop();
         control.stop();
+        worker.shutdownNow();
         log.info("stopped", LogField.of("node", settings.node()));
     }
+
+    private boolean awaitDrained(Duration patience) {
+        try {
+            return drained.await(patience.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException impatient) {
+            Thread.currentThread().interrupt();
+            return true;
+        }
+    }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/LeaveWatch.java
@@ -0,0 +1,93 @@
+package org.sassafrastrail.gateway;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import org.xnio.conduits.ReadReadyHandler;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * Notices that a caller closes its connection while its request is under way and nothing is being written to it. Undertow
+ * does not read then, so the watch takes the connection's read side, and gives it back before the next request.
+ */
+final class LeaveWatch implements ReadReadyHandler {
+
+    private final HttpServerConnection connection;
+    private final StreamSourceConduit source;
+    private final Runnable left;
+
+    private LeaveWatch(HttpServerConnection connection, Runnable left) {
+        this.connection = connection;
+        this.source = connection.getOriginalSourceConduit();
+        this.left = left;
+    }
+
+    /**
+     * Watches the connection of a request that has been read whole, until its exchange is over.
+     *
+     * @param exchange the request
+     * @param left is run when the connection is closed
+     */
+    static void watch(HttpServerExchange exchange, Runnable left) {
+        if (exchange.getConnection() instanceof HttpServerConnection http && http.getExtraBytes() == null) {
+            LeaveWatch watch = new LeaveWatch(http, left);
+            watch.source.setReadReadyHandler(watch);
+            watch.source.resumeReads();
+            exchange.addExchangeCompleteListener((done, next) -> {
+                watch.giveBack();
+                next.proceed();
+            });
+        }
+    }
+
+    private void leave() {
+        source.suspendReads();
+        left.run();
+        // The selector lets closed connections go with its next turn, and an idle thread takes none by itself.
+        connection.getWorker().execute(() -> connection.getIoThread().execute(() -> {}));
+    }
+
+    private void giveBack() {
+        source.suspendReads();
+        source.setReadReadyHandler(
+                new ChannelListenerHandler<>(connection.getChannel().getSourceChannel()));
+    }
+
+    @Override
+    public void readReady() {
+        PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
+        boolean kept = false;
+        try {
+            ByteBuffer buffer = pooled.getBuffer();
+            int count = source.read(buffer);
+            if (count < 0) {
+                leave();
+            } else if (count > 0) {
+                // The caller sends its next request early: it is kept for then, and the watch ends.
+                source.suspendReads();
+                buffer.flip();
+                connection.ungetRequestBytes(pooled);
+                kept = true;
+            }
+        } catch (IOException broken) {
+            leave();
+        } finally {
+            if (!kept) {
+                pooled.close();
+            }
+        }
+    }
+
+    @Override
+    public void forceTermination() {
+        leave();
+    }
+
+    @Override
+    public void terminated() {
+        // The read side was closed by this process.
+    }
+}
