Link gateways: what each has at upstreams, and copies while the store is away

Now: one TCP link with MessagePack between any two gateways, found by the seeds and by the registry of gateways; each tells the others its load at upstreams when it changed, at most every 100 ms; admission and placement go by the sum, scaled up for gateways that are registered and not heard. A table of the store is followed by FollowedTable in the product; while the store is silent, peers are asked and only newer copies count. Sessions are placed by their own part, leave their engine only when it is far behind, and then always for the same second.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
@@ -87,7 +87,7 @@
         Route route = again.description().route();
         boolean safe = result.provesNotRun()
                 || (result instanceof AttemptResult.Broken ? route.resumable() : route.mayRunAgain());
-        double gateways = state.gateways();
+        double gateways = state.peers().gateways();
         boolean affordable =
                 state.budget(again.target()).allows(now, limits.repeatShare(), limits.repeatExtra() / gateways);
         return safe
--- a/gate-core/src/main/java/org/sassafrastrail/gate/BeliefHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/BeliefHandler.java
@@ -69,6 +69,18 @@
     }
 
     Transition<GateState, GateAction> gateways(GateState state, GateEvent.GatewaysCounted event, Instant now) {
-        return Transition.stay(state.withGateways(Math.max(1, event.gateways())));
+        return Transition.stay(state.with(state.peers().counted(event.gateways())));
+    }
+
+    Transition<GateState, GateAction> peerLinked(GateState state, GateEvent.PeerLinked event, Instant now) {
+        return Transition.stay(state.with(state.peers().linked(event.peer())));
+    }
+
+    Transition<GateState, GateAction> peerReported(GateState state, GateEvent.PeerReported event, Instant now) {
+        return scheduler.sendAll(state.with(state.peers().reported(event.peer(), event.loads())), now);
+    }
+
+    Transition<GateState, GateAction> peerLost(GateState state, GateEvent.PeerLost event, Instant now) {
+        return Transition.stay(state.with(state.peers().lost(event.peer())));
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GateAction.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateAction.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 
+import org.pcollections.PMap;
 import org.sassafrastrail.model.RefusalReason;
 
 /** What a gateway's decision asks to be carried out. */
@@ -69,6 +70,13 @@
      */
     record InForce(long version) implements GateAction {}
 
+    /**
+     * Tell the other gateways what this one has at upstreams.
+     *
+     * @param loads its load, by upstream
+     */
+    record TellPeers(PMap<UpstreamIdentifier, UpstreamLoadElsewhere> loads) implements GateAction {}
+
     /** All requests have their answers and no new ones are expected: the process may end. */
     record Drained() implements GateAction {}
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GateCore.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateCore.java
@@ -31,6 +31,9 @@
                 .on(GateEvent.UpstreamsRead.class, beliefs::upstreams)
                 .on(GateEvent.DomainsOutRead.class, beliefs::domains)
                 .on(GateEvent.GatewaysCounted.class, beliefs::gateways)
+                .on(GateEvent.PeerLinked.class, beliefs::peerLinked)
+                .on(GateEvent.PeerReported.class, beliefs::peerReported)
+                .on(GateEvent.PeerLost.class, beliefs::peerLost)
                 .on(GateEvent.Ticked.class, time::ticked)
                 .on(GateEvent.StopRequested.class, time::stop)
                 .complete();
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GateEvent.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateEvent.java
@@ -67,6 +67,28 @@
      */
     record GatewaysCounted(int gateways) implements GateEvent {}
 
+    /**
+     * There is a link to another gateway.
+     *
+     * @param peer its name
+     */
+    record PeerLinked(String peer) implements GateEvent {}
+
+    /**
+     * Another gateway said what it has at upstreams.
+     *
+     * @param peer its name
+     * @param loads its load, by upstream; replaces what it said before
+     */
+    record PeerReported(String peer, PMap<UpstreamIdentifier, UpstreamLoadElsewhere> loads) implements GateEvent {}
+
+    /**
+     * The link to another gateway is down.
+     *
+     * @param peer its name
+     */
+    record PeerLost(String peer) implements GateEvent {}
+
     /** Time passed. */
     record Ticked() implements GateEvent {}
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GateLimits.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateLimits.java
@@ -15,6 +15,7 @@
  * @param coldExtra how many requests a cold upstream may get in one second beyond that
  * @param ejectAfter how many failures in a row make an upstream look broken
  * @param ejectFor how long such an upstream gets no work
+ * @param tellPeersEvery how often the other gateways hear what this one has at upstreams
  * @param drainAtLeast how long a stopping gateway goes on serving its open connections
  * @param drainAtMost when a stopping gateway ends, whatever still runs
  */
@@ -29,5 +30,6 @@
         double coldExtra,
         int ejectAfter,
         Duration ejectFor,
+        Duration tellPeersEvery,
         Duration drainAtLeast,
         Duration drainAtMost) {}
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GateState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateState.java
@@ -21,7 +21,7 @@
  * @param calls the requests without a final answer, by number
  * @param waiting the requests that wait for an attempt, oldest first
  * @param domainsOut the failure domains that are out of service
- * @param gateways how many gateways share the upstreams
+ * @param peers the other gateways
  * @param usage what each client account got lately
  * @param budgets the repeats of each target
  * @param stoppingSince since when the gateway is stopping, empty if it is not
@@ -32,7 +32,7 @@
         PMap<Long, Call> calls,
         PSet<Long> waiting,
         PSet<FailureDomainName> domainsOut,
-        int gateways,
+        Peers peers,
         AccountUsage usage,
         PMap<TargetName, RepeatBudget> budgets,
         Optional<Instant> stoppingSince) {
@@ -50,7 +50,7 @@
                 HashTreePMap.empty(),
                 OrderedPSet.empty(),
                 HashTreePSet.empty(),
-                1,
+                Peers.NONE,
                 AccountUsage.fadingIn(quotaWindow),
                 HashTreePMap.empty(),
                 Optional.empty());
@@ -90,11 +90,11 @@
 
     GateState with(RouteTable next) {
         return new GateState(
-                Optional.of(next), upstreams, calls, waiting, domainsOut, gateways, usage, budgets, stoppingSince);
+                Optional.of(next), upstreams, calls, waiting, domainsOut, peers, usage, budgets, stoppingSince);
     }
 
     GateState withUpstreams(PMap<UpstreamIdentifier, UpstreamState> next) {
-        return new GateState(table, next, calls, waiting, domainsOut, gateways, usage, budgets, stoppingSince);
+        return new GateState(table, next, calls, waiting, domainsOut, peers, usage, budgets, stoppingSince);
     }
 
     GateState with(UpstreamState next) {
@@ -113,36 +113,28 @@
 
     private GateState withCalls(PMap<Long, Call> nextCalls, PSet<Long> nextWaiting) {
         return new GateState(
-                table, upstreams, nextCalls, nextWaiting, domainsOut, gateways, usage, budgets, stoppingSince);
+                table, upstreams, nextCalls, nextWaiting, domainsOut, peers, usage, budgets, stoppingSince);
     }
 
     GateState withDomainsOut(PSet<FailureDomainName> next) {
-        return new GateState(table, upstreams, calls, waiting, next, gateways, usage, budgets, stoppingSince);
+        return new GateState(table, upstreams, calls, waiting, next, peers, usage, budgets, stoppingSince);
     }
 
-    GateState withGateways(int next) {
+    GateState with(Peers next) {
         return new GateState(table, upstreams, calls, waiting, domainsOut, next, usage, budgets, stoppingSince);
     }
 
     GateState with(AccountUsage next) {
-        return new GateState(table, upstreams, calls, waiting, domainsOut, gateways, next, budgets, stoppingSince);
+        return new GateState(table, upstreams, calls, waiting, domainsOut, peers, next, budgets, stoppingSince);
     }
 
     GateState with(TargetName target, RepeatBudget next) {
         return new GateState(
-                table,
-                upstreams,
-                calls,
-                waiting,
-                domainsOut,
-                gateways,
-                usage,
-                budgets.plus(target, next),
-                stoppingSince);
+                table, upstreams, calls, waiting, domainsOut, peers, usage, budgets.plus(target, next), stoppingSince);
     }
 
     GateState stopping(Instant now) {
-        return new GateState(table, upstreams, calls, waiting, domainsOut, gateways, usage, budgets, Optional.of(now));
+        return new GateState(table, upstreams, calls, waiting, domainsOut, peers, usage, budgets, Optional.of(now));
     }
 
     RepeatBudget budget(TargetName target) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/LeastRunningPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/LeastRunningPlacement.java
@@ -1,28 +1,24 @@
 package org.sassafrastrail.gate;
 
-import java.time.Instant;
 import java.util.Comparator;
 import java.util.Optional;
 import java.util.stream.Stream;
 
-/** Places plain requests where the fewest of this gateway's run, within its share of the places. */
+/** Places plain requests where the fewest run, as long as the upstream's places and a short queue are not full. */
 final class LeastRunningPlacement implements Placement {
 
-    /** Gateways are seldom busy at once, and upstreams queue a little. */
-    private static final int PLACES_SHARED_TIMES = 2;
+    /** Upstreams queue a little, and a place is free sooner than other gateways hear of it. */
+    private static final int QUEUE_FACTOR = 2;
 
     @Override
-    public Optional<Place> place(Call call, Stream<UpstreamState> candidates, int gateways, Instant now) {
+    public Optional<Place> place(Call call, Stream<Candidate> candidates, double unheard) {
         return candidates
-                .filter(state -> state.running() < share(state, gateways))
-                .min(Comparator.comparingInt(UpstreamState::running)
-                        .thenComparingLong(state ->
-                                Mixing.mix(state.upstream().identifier().value()
-                                        + call.description().request())))
-                .map(state -> new Place(state, 0));
-    }
-
-    private static int share(UpstreamState state, int gateways) {
-        return Math.max(1, (PLACES_SHARED_TIMES * state.upstream().places() + gateways - 1) / gateways);
+                .filter(candidate -> candidate.running() == 0
+                        || candidate.running() * unheard
+                                < QUEUE_FACTOR * candidate.upstream().upstream().places())
+                .min(Comparator.comparingInt(Candidate::running)
+                        .thenComparingLong(candidate -> Mixing.mix(
+                                candidate.identifier() + call.description().request())))
+                .map(candidate -> new Place(candidate, 0));
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
@@ -1,6 +1,5 @@
 package org.sassafrastrail.gate;
 
-import java.time.Instant;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -10,19 +9,39 @@
     /**
      * A place for a request.
      *
-     * @param upstream the upstream
+     * @param candidate the upstream
      * @param tokensToRead the tokens of its prompt that the upstream is believed not to have cached
      */
-    record Place(UpstreamState upstream, long tokensToRead) {}
+    record Place(Candidate candidate, long tokensToRead) {}
+
+    /**
+     * An upstream that may get a request.
+     *
+     * @param upstream what this gateway knows of it
+     * @param elsewhere what the other gateways have there
+     */
+    record Candidate(UpstreamState upstream, UpstreamLoadElsewhere elsewhere) {
+
+        UpstreamIdentifier identifier() {
+            return upstream.upstream().identifier();
+        }
+
+        int running() {
+            return upstream.running() + elsewhere.running();
+        }
+
+        long tokensAhead() {
+            return upstream.tokensAhead() + elsewhere.tokensToRead();
+        }
+    }
 
     /**
      * Chooses a place.
      *
      * @param call the request
      * @param candidates the upstreams that may get it
-     * @param gateways how many gateways share the upstreams
-     * @param now the time
+     * @param unheard by how much the load that is known has to be taken, because not all gateways are heard from
      * @return the place, or empty if the request had better wait here
      */
-    Optional<Place> place(Call call, Stream<UpstreamState> candidates, int gateways, Instant now);
+    Optional<Place> place(Call call, Stream<Candidate> candidates, double unheard);
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/PromptPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/PromptPlacement.java
@@ -1,55 +1,67 @@
 package org.sassafrastrail.gate;
 
-import java.time.Instant;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /**
- * Places a prompt where it will be read soonest. Each session has a home among the upstreams, the same for every
- * gateway, where its part of the prompt is taken to be cached; elsewhere it has to be read first. So a session leaves its
- * home only when that is further behind than the part takes to read.
+ * Places a prompt where it will be read soonest and where its parts stay useful. Each session ranks the upstreams, the
+ * same way at every gateway; its part of the prompt is taken to be cached at the first. It goes elsewhere only when the
+ * first is behind by more than reading the part again is worth, and then rather to the second than to any other.
  */
 final class PromptPlacement implements Placement {
 
+    /** What reading a session's part again counts, in its tokens: it costs time here and a cached part elsewhere. */
+    private static final double READ_AGAIN_AT_SECOND = 2;
+
+    private static final double READ_AGAIN_ELSEWHERE = 4;
+
     private final GateLimits limits;
 
     PromptPlacement(GateLimits limits) {
         this.limits = limits;
     }
 
+    /** A place with what speaks against it, in tokens. */
+    private record Weighed(Place place, double weight) {}
+
     @Override
-    public Optional<Place> place(Call call, Stream<UpstreamState> candidates, int gateways, Instant now) {
-        List<UpstreamState> choices = candidates.toList();
+    public Optional<Place> place(Call call, Stream<Candidate> candidates, double unheard) {
         Prompt prompt = call.description().prompt();
-        Optional<UpstreamIdentifier> home = prompt.session().flatMap(session -> choices.stream()
-                .map(state -> state.upstream().identifier())
-                .max(Comparator.comparingLong(upstream -> affinity(upstream, session))));
-        return choices.stream()
-                .map(state -> new Place(state, tokensToRead(prompt, home, state)))
-                .min(Comparator.comparingLong(place -> place.upstream().tokensAhead() + place.tokensToRead()))
-                .filter(place -> admits(place, call, gateways));
+        List<Candidate> ranked = ranked(prompt, candidates);
+        return IntStream.range(0, ranked.size())
+                .mapToObj(rank -> weigh(prompt, ranked.get(rank), rank))
+                .min(Comparator.comparingDouble(Weighed::weight))
+                .map(Weighed::place)
+                .filter(place -> admits(place, call, unheard));
     }
 
-    private static long tokensToRead(Prompt prompt, Optional<UpstreamIdentifier> home, UpstreamState state) {
-        long own = prompt.inputTokens() - prompt.sharedTokens();
-        boolean cached = home.filter(state.upstream().identifier()::equals).isPresent();
-        return Math.max(
-                1, cached ? own : own + prompt.session().map(PromptPart::tokens).orElse(0));
+    /** Orders the upstreams by a hash that every gateway computes alike. */
+    private static List<Candidate> ranked(Prompt prompt, Stream<Candidate> candidates) {
+        String session = prompt.session().map(PromptPart::identifier).orElse("");
+        return candidates
+                .sorted(Comparator.comparingLong(
+                        candidate -> Mixing.mix(candidate.identifier().value() + "/" + session)))
+                .toList();
     }
 
-    /** An idle engine takes any prompt; a busy one takes more only while the wait behind them fits into the aim. */
-    private boolean admits(Place place, Call call, int gateways) {
-        double aim = call.description().route().aim().toMillis() * limits.mostWaitShareOfAim();
-        double allowed = aim * limits.readTokensPerMillisecond() / gateways;
-        UpstreamState state = place.upstream();
-        int places = Math.max(1, state.upstream().places() / gateways);
-        return state.running() < places && (state.tokensAhead() == 0 || state.tokensAhead() < allowed);
+    private static Weighed weigh(Prompt prompt, Candidate candidate, int rank) {
+        int session = prompt.session().map(PromptPart::tokens).orElse(0);
+        long own = Math.max(1, prompt.inputTokens() - prompt.sharedTokens());
+        long toRead = rank == 0 ? own : own + session;
+        double readAgain = rank == 0 ? 0 : session * (rank == 1 ? READ_AGAIN_AT_SECOND : READ_AGAIN_ELSEWHERE);
+        return new Weighed(new Place(candidate, toRead), candidate.tokensAhead() + own + readAgain);
     }
 
-    /** Ranks the upstreams for a session, by a hash that every gateway computes alike. */
-    private static long affinity(UpstreamIdentifier upstream, PromptPart session) {
-        return Mixing.mix(upstream.value() + "/" + session.identifier());
+    /** An idle engine takes any prompt; a busy one takes more only while the wait behind them fits into the aim. */
+    private boolean admits(Place place, Call call, double unheard) {
+        double aim = call.description().route().aim().toMillis() * limits.mostWaitShareOfAim();
+        double allowed = aim * limits.readTokensPerMillisecond();
+        Candidate candidate = place.candidate();
+        int places = candidate.upstream().upstream().places();
+        return candidate.running() * unheard < places
+                && (candidate.tokensAhead() == 0 || candidate.tokensAhead() * unheard < allowed);
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -54,10 +54,12 @@
     }
 
     private Optional<Placement.Place> place(GateState state, Call call, Instant now) {
-        Stream<UpstreamState> candidates =
-                state.upstreams().values().stream().filter(upstream -> mayGet(state, upstream, call, now));
+        Stream<Placement.Candidate> candidates = state.upstreams().values().stream()
+                .filter(upstream -> mayGet(state, upstream, call, now))
+                .map(upstream -> new Placement.Candidate(
+                        upstream, state.peers().load(upstream.upstream().identifier())));
         Placement placement = call.description().route().prompted() ? prompts : plain;
-        return placement.place(call, candidates, state.gateways(), now);
+        return placement.place(call, candidates, state.peers().unheard());
     }
 
     private boolean mayGet(GateState state, UpstreamState upstream, Call call, Instant now) {
@@ -76,13 +78,15 @@
                 .map(table -> table.targets().get(upstream.upstream().target()))
                 .map(TargetProfile::coldRequestsPerSecond)
                 .orElse(0.0);
-        double share = (perSecond * limits.coldFactor() + limits.coldExtra()) / state.gateways();
+        double share = (perSecond * limits.coldFactor() + limits.coldExtra())
+                / state.peers().gateways();
         return upstream.sentLately(now).size() + 1 <= Math.max(1, Math.floor(share));
     }
 
     private static Transition<GateState, GateAction> dispatch(
             GateState state, Call call, Placement.Place place, Instant now) {
-        Attempt attempt = new Attempt(call.attempts() + 1, place.upstream().upstream(), place.tokensToRead(), true);
+        Attempt attempt =
+                new Attempt(call.attempts() + 1, place.candidate().upstream().upstream(), place.tokensToRead(), true);
         Call sent = call.sentTo(attempt);
         GateState charged = call.attempts() == 0
                 ? state.with(state.usage()
@@ -91,12 +95,12 @@
         GateAction action = new GateAction.Dispatch(
                 call.number(),
                 attempt.number(),
-                place.upstream().upstream(),
+                place.candidate().upstream().upstream(),
                 Duration.between(now, call.description().giveUpAt()),
                 Duration.between(call.description().arrivedAt(), now),
-                place.upstream().tokensAhead());
+                place.candidate().tokensAhead());
         return Transition.<GateState, GateAction>stay(
-                        charged.with(sent).with(place.upstream().sent(attempt, now)))
+                        charged.with(sent).with(place.candidate().upstream().sent(attempt, now)))
                 .then(action);
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TimeHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TimeHandler.java
@@ -2,7 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.stream.Collectors;
 
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
 import org.sassafrastrail.decision.Transition;
 
 /** Decides on what time brings: final answers, upstreams that come back, the end of a stop. */
@@ -23,9 +26,23 @@
                 .sendAll(state, now)
                 .and(next -> calls.expire(next, now))
                 .and(next -> comeBack(next, now))
+                .and(next -> tellPeers(next, now))
                 .and(next -> drained(next, now));
     }
 
+    private Transition<GateState, GateAction> tellPeers(GateState state, Instant now) {
+        PMap<UpstreamIdentifier, UpstreamLoadElsewhere> loads = HashTreePMap.from(state.upstreams().values().stream()
+                .filter(upstream -> upstream.running() > 0)
+                .collect(Collectors.toMap(
+                        upstream -> upstream.upstream().identifier(),
+                        upstream -> new UpstreamLoadElsewhere(upstream.running(), upstream.tokensAhead()))));
+        return state.peers().tellingIsDue(loads, now, limits.tellPeersEvery())
+                ? Transition.<GateState, GateAction>stay(
+                                state.with(state.peers().told(loads, now)))
+                        .then(new GateAction.TellPeers(loads))
+                : Transition.stay(state);
+    }
+
     private Transition<GateState, GateAction> comeBack(GateState state, Instant now) {
         return Transition.<GateState, GateAction>stay(state)
                 .forEach(
--- a/gate-core/src/test/java/org/sassafrastrail/gate/Gate.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/Gate.java
@@ -32,6 +32,7 @@
             5,
             3,
             Duration.ofSeconds(2),
+            Duration.ofMillis(100),
             Duration.ofSeconds(1),
             Duration.ofSeconds(5));
 
@@ -121,7 +122,24 @@
     List<GateAction> handle(GateEvent event) {
         Transition<GateState, GateAction> transition = core.handle(state, event, now);
         state = transition.state();
-        return transition.actions();
+        return transition.actions().stream()
+                .filter(action -> !(action instanceof GateAction.TellPeers))
+                .toList();
+    }
+
+    /** What the other gateways would hear of the load at this one, after some time. */
+    Optional<GateAction.TellPeers> told(Duration time) {
+        now = now.plus(time);
+        Transition<GateState, GateAction> transition = core.handle(state, new GateEvent.Ticked(), now);
+        state = transition.state();
+        return only(transition.actions(), GateAction.TellPeers.class);
+    }
+
+    List<GateAction> elsewhere(String peer, String upstream, int running, long tokensToRead) {
+        return handle(new GateEvent.PeerReported(
+                peer,
+                HashTreePMap.singleton(
+                        new UpstreamIdentifier(upstream), new UpstreamLoadElsewhere(running, tokensToRead))));
     }
 
     List<GateAction> register(Upstream... upstreams) {
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GateCoreTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GateCoreTest.java
@@ -193,6 +193,58 @@
         assertThat(Gate.sentTo(gate.arrive(11, BOOK))).contains("one");
     }
 
+    @Test
+    void whatOtherGatewaysHaveAtAnUpstreamCounts() {
+        registerDesks();
+        gate.elsewhere("peer", "one", 5, 0);
+        assertThat(Gate.sentTo(gate.arrive(1, BOOK))).contains("two");
+        assertThat(Gate.sentTo(gate.arrive(2, BOOK))).contains("two");
+        gate.handle(new GateEvent.PeerLost("peer"));
+        assertThat(Gate.sentTo(gate.arrive(3, BOOK))).contains("one");
+    }
+
+    @Test
+    void aGatewayThatHearsFromNoneOfFourTakesAQuarterOfTheRoom() {
+        gate.handle(new GateEvent.GatewaysCounted(4));
+        gate.register(Gate.upstream("one", Gate.MODEL));
+        Prompt prompt = Gate.prompt("s", 100, 5_000);
+        LongStream.range(0, 10).forEach(number -> gate.arrive(number, TELL, prompt, "account"));
+        UpstreamIdentifier engine = new UpstreamIdentifier("one");
+        assertThat(gate.state().upstreams().get(engine).running()).isEqualTo(2);
+        List.of("b", "c", "d").forEach(peer -> gate.handle(new GateEvent.PeerLinked(peer)));
+        gate.pass(Duration.ofMillis(1));
+        assertThat(gate.state().upstreams().get(engine).running()).isGreaterThan(2);
+    }
+
+    @Test
+    void theOthersHearOfTheLoadWhenItChanged() {
+        registerDesks();
+        gate.handle(new GateEvent.PeerLinked("peer"));
+        assertThat(gate.told(Duration.ofMillis(100))).isEmpty();
+        gate.arrive(1, BOOK);
+        assertThat(gate.told(Duration.ofMillis(100)).orElseThrow().loads()).hasSize(1);
+        assertThat(gate.told(Duration.ofMillis(100))).isEmpty();
+        gate.end(1, 1, new AttemptResult.Delivered());
+        assertThat(gate.told(Duration.ofMillis(100)).orElseThrow().loads()).isEmpty();
+    }
+
+    @Test
+    void aSessionLeavesItsEngineOnlyWhenThatIsFarBehindAndThenAlwaysForTheSameOne() {
+        gate.register(
+                Gate.upstream("one", Gate.MODEL), Gate.upstream("two", Gate.MODEL), Gate.upstream("three", Gate.MODEL));
+        Prompt prompt = Gate.prompt("session", 3000, 3500);
+        String home = Gate.sentTo(gate.arrive(1, TELL, prompt, "account")).orElseThrow();
+        gate.end(1, 1, new AttemptResult.Delivered());
+        gate.elsewhere("peer", home, 1, 5_000);
+        assertThat(Gate.sentTo(gate.arrive(2, TELL, prompt, "account"))).contains(home);
+        gate.end(2, 1, new AttemptResult.Delivered());
+        gate.elsewhere("peer", home, 1, 20_000);
+        String second = Gate.sentTo(gate.arrive(3, TELL, prompt, "account")).orElseThrow();
+        assertThat(second).isNotEqualTo(home);
+        gate.end(3, 1, new AttemptResult.Delivered());
+        assertThat(Gate.sentTo(gate.arrive(4, TELL, prompt, "account"))).contains(second);
+    }
+
     @Test
     void anOlderConfigurationIsNotTakenBack() {
         assertThat(gate.handle(new GateEvent.RoutesRead(Gate.table(5)))).containsExactly(new GateAction.InForce(5));
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GateActions.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GateActions.java
@@ -1,10 +1,12 @@
 package org.sassafrastrail.gateway;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.function.Consumer;
 
 import io.undertow.util.StatusCodes;
 import org.sassafrastrail.gate.GateAction;
+import org.sassafrastrail.messages.UpstreamLoad;
 import org.sassafrastrail.runtime.ActionExecutor;
 import org.sassafrastrail.runtime.EventLog;
 import org.sassafrastrail.runtime.LogField;
@@ -14,12 +16,19 @@
 final class GateActions implements ActionExecutor<GateAction> {
 
     private final CallerFrontEnd callers;
+    private final Consumer<List<UpstreamLoad>> peers;
     private final Runnable drained;
     private final Metrics metrics;
     private final EventLog log;
 
-    GateActions(CallerFrontEnd callers, Runnable drained, Metrics metrics, EventLog log) {
+    GateActions(
+            CallerFrontEnd callers,
+            Consumer<List<UpstreamLoad>> peers,
+            Runnable drained,
+            Metrics metrics,
+            EventLog log) {
         this.callers = callers;
+        this.peers = peers;
         this.drained = drained;
         this.metrics = metrics;
         this.log = log;
@@ -45,6 +54,13 @@
             believe(believe);
         } else if (action instanceof GateAction.InForce inForce) {
             log.info("configuration-in-force", LogField.of("version", inForce.version()));
+        } else if (action instanceof GateAction.TellPeers tell) {
+            peers.accept(tell.loads().entrySet().stream()
+                    .map(load -> new UpstreamLoad(
+                            load.getKey().value(),
+                            load.getValue().running(),
+                            load.getValue().tokensToRead()))
+                    .toList());
         } else if (action instanceof GateAction.Drained) {
             drained.run();
         }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -15,6 +15,7 @@
 import org.sassafrastrail.gate.GateEvent;
 import org.sassafrastrail.gate.GateState;
 import org.sassafrastrail.http.JsonPage;
+import org.sassafrastrail.model.Incarnation;
 import org.sassafrastrail.runtime.ControlLoop;
 import org.sassafrastrail.runtime.EventLog;
 import org.sassafrastrail.runtime.LogField;
@@ -48,6 +49,7 @@
     private final CallerFrontEnd callers;
     private final CallerListener entrance;
     private final CallerListener pages;
+    private final PeerLinks peers;
     private Runnable stopTelling = () -> {};
 
     /**
@@ -64,7 +66,7 @@
         DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
         this.worker = worker();
         this.callers = new CallerFrontEnd(protocol, this::state, this::post, this::finished, clock, buffers);
-        GateActions actions = new GateActions(callers, drained::countDown, metrics, log);
+        GateActions actions = new GateActions(callers, loads -> peers().tell(loads), drained::countDown, metrics, log);
         this.control = new ControlLoop<>(
                 "control",
                 new GateCore(settings.limits()),
@@ -72,6 +74,7 @@
                 actions,
                 clock,
                 log);
+        this.peers = new PeerLinks(settings, new Incarnation(clock.millis()), this::post, metrics, log);
         this.ticker = new Ticker(TICK, this::busy, () -> post(new GateEvent.Ticked()), log);
         this.entrance = new CallerListener(settings.callers(), worker, buffers, callers);
         this.pages = new CallerListener(settings.readiness(), worker, buffers, this::page);
@@ -100,6 +103,10 @@
         exchange.endExchange();
     }
 
+    private PeerLinks peers() {
+        return peers;
+    }
+
     private GateState state() {
         return control.state();
     }
@@ -130,7 +137,8 @@
     public void start() {
         control.start();
         ticker.start();
-        stopTelling = surroundings.tell(this::post);
+        peers.start();
+        stopTelling = surroundings.tell(this::post, peers);
         pages.start();
         entrance.start();
         log.info("started", LogField.of("node", settings.node()), LogField.of("callers", settings.callers()));
@@ -154,6 +162,7 @@
         entrance.stop();
         pages.stop();
         ticker.stop();
+        peers.stop();
         control.stop();
         worker.shutdownNow();
         log.info("stopped", LogField.of("node", settings.node()));
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
@@ -1,6 +1,7 @@
 package org.sassafrastrail.gateway;
 
 import java.time.Duration;
+import java.util.List;
 
 import org.sassafrastrail.gate.GateLimits;
 
@@ -10,6 +11,8 @@
  * @param node its name
  * @param callers where it listens for callers, host and port
  * @param readiness where it answers whether it is ready, host and port
+ * @param links where it listens for other gateways, host and port
+ * @param seeds where other gateways may be found before the store answers
  * @param store where the platform's store is, host and port
  * @param repeatShare how many repeats a target may get, as a share of its requests; null for the default
  * @param repeatExtra how many repeats a target may get beyond that; null for the default
@@ -23,6 +26,8 @@
         String node,
         String callers,
         String readiness,
+        String links,
+        List<String> seeds,
         String store,
         Double repeatShare,
         Double repeatExtra,
@@ -48,6 +53,7 @@
     private static final double DEFAULT_QUOTA_WINDOW_SECONDS = 4;
     private static final int EJECT_AFTER = 3;
     private static final Duration EJECT_FOR = Duration.ofSeconds(2);
+    private static final Duration TELL_PEERS_EVERY = Duration.ofMillis(100);
     private static final Duration DRAIN_AT_LEAST = Duration.ofMillis(3500);
 
     /** The part of the grace that is kept for ending the process. */
@@ -72,6 +78,7 @@
                 MARGIN * or(coldExtra, DEFAULT_COLD_EXTRA),
                 EJECT_AFTER,
                 EJECT_FOR,
+                TELL_PEERS_EVERY,
                 DRAIN_AT_LEAST,
                 seconds(or(graceSeconds, DEFAULT_GRACE_SECONDS)).minus(ENDING));
     }
--- /dev/null
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerCopies.java
@@ -0,0 +1,39 @@
+package org.sassafrastrail.gateway;
+
+import java.util.Map;
+
+import org.sassafrastrail.durable.FollowedTable;
+
+/** The other gateways, as far as they help with what the store holds. */
+public interface PeerCopies {
+
+    /**
+     * Returns where other gateways reach this one.
+     *
+     * @return host and port
+     */
+    String address();
+
+    /**
+     * Shares a copy of a table: gives it to peers that ask, and offers it what they have.
+     *
+     * @param table the table
+     * @param copy the copy
+     */
+    void share(String table, FollowedTable copy);
+
+    /**
+     * Asks all peers for their copies of a table.
+     *
+     * @param table the table
+     * @param version the version that is known; only newer copies come
+     */
+    void ask(String table, long version);
+
+    /**
+     * Links to the other gateways.
+     *
+     * @param gateways the address of each registered gateway, by name
+     */
+    void meet(Map<String, String> gateways);
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -0,0 +1,186 @@
+package org.sassafrastrail.gateway;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+
+import org.pcollections.HashTreePMap;
+import org.sassafrastrail.durable.FeedRow;
+import org.sassafrastrail.durable.FollowedTable;
+import org.sassafrastrail.gate.GateEvent;
+import org.sassafrastrail.gate.UpstreamIdentifier;
+import org.sassafrastrail.gate.UpstreamLoadElsewhere;
+import org.sassafrastrail.messages.CopiedRow;
+import org.sassafrastrail.messages.CopyRequest;
+import org.sassafrastrail.messages.Hello;
+import org.sassafrastrail.messages.LoadReport;
+import org.sassafrastrail.messages.Message;
+import org.sassafrastrail.messages.TableCopy;
+import org.sassafrastrail.messages.UpstreamLoad;
+import org.sassafrastrail.model.Incarnation;
+import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.runtime.EventLog;
+import org.sassafrastrail.runtime.LogField;
+import org.sassafrastrail.runtime.Metrics;
+import org.sassafrastrail.runtime.Service;
+import org.sassafrastrail.wire.Link;
+import org.sassafrastrail.wire.LinkClosure;
+import org.sassafrastrail.wire.LinkDialer;
+import org.sassafrastrail.wire.LinkListener;
+import org.sassafrastrail.wire.LinkServer;
+import org.sassafrastrail.wire.LinkSettings;
+import org.sassafrastrail.wire.MessagePackCodec;
+
+/** The links to the other gateways: what each has at upstreams, and copies of tables while the store is away. */
+final class PeerLinks implements Service, PeerCopies, LinkListener {
+
+    private static final Duration REDIAL = Duration.ofSeconds(1);
+    private static final Duration CONNECT_PATIENCE = Duration.ofMillis(800);
+
+    /** The platform gives machines no secret to share; only they can reach each other's links. */
+    private static final String NO_KEY = "";
+
+    private final GatewaySettings settings;
+    private final Consumer<GateEvent> events;
+    private final EventLog log;
+    private final LinkSettings linkSettings;
+    private final LinkServer server;
+    private final Map<String, LinkDialer> dialers = new ConcurrentHashMap<>();
+    private final Map<String, Link> links = new ConcurrentHashMap<>();
+    private final Map<String, FollowedTable> tables = new ConcurrentHashMap<>();
+
+    PeerLinks(GatewaySettings settings, Incarnation life, Consumer<GateEvent> events, Metrics metrics, EventLog log) {
+        this.settings = settings;
+        this.events = events;
+        this.log = log;
+        Hello greeting = new Hello(Hello.PROTOCOL, NO_KEY, new NodeName(settings.node()), life, Optional.empty());
+        this.linkSettings =
+                new LinkSettings(() -> greeting, new MessagePackCodec(), this, metrics, log, CONNECT_PATIENCE);
+        this.server = new LinkServer(host(settings.links()), port(settings.links()), linkSettings);
+    }
+
+    private static String host(String address) {
+        return address.substring(0, address.lastIndexOf(':'));
+    }
+
+    private static int port(String address) {
+        return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+    }
+
+    @Override
+    public void start() {
+        server.start();
+        settings.seeds().forEach(this::dial);
+    }
+
+    @Override
+    public void stop() {
+        dialers.values().forEach(LinkDialer::stop);
+        server.stop();
+    }
+
+    @Override
+    public String address() {
+        return settings.links();
+    }
+
+    @Override
+    public void meet(Map<String, String> gateways) {
+        gateways.values().forEach(this::dial);
+    }
+
+    /** Of two gateways the one with the smaller address dials, so that there is one link between them. */
+    private void dial(String address) {
+        if (!address.isEmpty() && settings.links().compareTo(address) < 0) {
+            dialers.computeIfAbsent(address, place -> {
+                LinkDialer dialer = new LinkDialer(host(place), port(place), REDIAL, linkSettings);
+                dialer.start();
+                return dialer;
+            });
+        }
+    }
+
+    @Override
+    public void share(String table, FollowedTable copy) {
+        tables.put(table, copy);
+    }
+
+    @Override
+    public void ask(String table, long version) {
+        links.values().forEach(link -> link.send(new CopyRequest(table, version)));
+    }
+
+    /** Tells all peers what this gateway has at upstreams. */
+    void tell(List<UpstreamLoad> loads) {
+        links.values().forEach(link -> link.send(new LoadReport(loads)));
+    }
+
+    @Override
+    public void opened(Link link) {
+        String peer = link.peer().node().value();
+        Link before = links.put(peer, link);
+        if (before != null) {
+            before.close();
+        }
+        log.info("peer-linked", LogField.of("peer", peer), LogField.of("host", link.host()));
+        events.accept(new GateEvent.PeerLinked(peer));
+    }
+
+    @Override
+    public void received(Link link, Message message) {
+        if (message instanceof LoadReport report) {
+            events.accept(new GateEvent.PeerReported(
+                    link.peer().node().value(),
+                    HashTreePMap.from(report.loads().stream()
+                            .collect(Collectors.toMap(
+                                    load -> new UpstreamIdentifier(load.upstream()),
+                                    load -> new UpstreamLoadElsewhere(load.running(), load.tokensToRead()))))));
+        } else if (message instanceof CopyRequest request) {
+            Optional.ofNullable(tables.get(request.table()))
+                    .map(FollowedTable::copy)
+                    .filter(copy -> copy.version() > request.version())
+                    .ifPresent(copy -> link.send(copy(request.table(), copy)));
+        } else if (message instanceof TableCopy copy) {
+            take(link, copy);
+        }
+    }
+
+    private static TableCopy copy(String table, FollowedTable.Copy copy) {
+        return new TableCopy(
+                table,
+                copy.version(),
+                copy.rows().stream()
+                        .map(row -> new CopiedRow(
+                                row.key(), row.version(), row.value().orElseThrow()))
+                        .toList());
+    }
+
+    private void take(Link link, TableCopy copy) {
+        List<FeedRow> rows = copy.rows().stream()
+                .map(row -> new FeedRow(row.key(), row.version(), Optional.of(row.value())))
+                .toList();
+        boolean newer = Optional.ofNullable(tables.get(copy.table()))
+                .filter(table -> table.offer(new FollowedTable.Copy(copy.version(), rows)))
+                .isPresent();
+        if (newer) {
+            log.info(
+                    "copy-taken",
+                    LogField.of("table", copy.table()),
+                    LogField.of("version", copy.version()),
+                    LogField.of("peer", link.peer().node()));
+        }
+    }
+
+    @Override
+    public void closed(Link link, LinkClosure reason) {
+        String peer = link.peer().node().value();
+        if (links.remove(peer, link)) {
+            log.info("peer-lost", LogField.of("peer", peer), LogField.of("reason", reason));
+            events.accept(new GateEvent.PeerLost(peer));
+        }
+    }
+}
--- a/gateway/src/main/java/org/sassafrastrail/gateway/Surroundings.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/Surroundings.java
@@ -12,7 +12,8 @@
      * Starts to tell what is learnt.
      *
      * @param listener takes each piece of news, on any thread
+     * @param peers the other gateways, which have copies of what the store holds
      * @return stops telling
      */
-    Runnable tell(Consumer<GateEvent> listener);
+    Runnable tell(Consumer<GateEvent> listener, PeerCopies peers);
 }
--- /dev/null
+++ b/messages/src/main/java/org/sassafrastrail/messages/LoadReport.java
@@ -0,0 +1,10 @@
+package org.sassafrastrail.messages;
+
+import java.util.List;
+
+/**
+ * From a gateway to its peers: what it has at upstreams. Replaces what it said before.
+ *
+ * @param loads the upstreams at which it has anything
+ */
+public record LoadReport(List<UpstreamLoad> loads) implements Message {}
--- a/messages/src/main/java/org/sassafrastrail/messages/Message.java
+++ b/messages/src/main/java/org/sassafrastrail/messages/Message.java
@@ -13,4 +13,7 @@
                 MoveUpdate,
                 Heartbeat,
                 RulesRequest,
-                RulesAnnouncement {}
+                RulesAnnouncement,
+                LoadReport,
+                CopyRequest,
+                TableCopy {}
--- a/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
@@ -5,6 +5,7 @@
 
 import org.sassafrastrail.messages.AttemptQuery;
 import org.sassafrastrail.messages.AttemptReport;
+import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.Demand;
 import org.sassafrastrail.messages.EvidenceUpdate;
 import org.sassafrastrail.messages.GrantOffer;
@@ -12,10 +13,12 @@
 import org.sassafrastrail.messages.Heartbeat;
 import org.sassafrastrail.messages.Hello;
 import org.sassafrastrail.messages.LedgerUpdate;
+import org.sassafrastrail.messages.LoadReport;
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.messages.MoveUpdate;
 import org.sassafrastrail.messages.RulesAnnouncement;
 import org.sassafrastrail.messages.RulesRequest;
+import org.sassafrastrail.messages.TableCopy;
 
 /** The number of each kind of message in a frame. Numbers are never given to another kind. */
 enum MessageKind {
@@ -30,7 +33,10 @@
     MOVE_UPDATE(9, MoveUpdate.class),
     HEARTBEAT(10, Heartbeat.class),
     RULES_REQUEST(11, RulesRequest.class),
-    RULES_ANNOUNCEMENT(12, RulesAnnouncement.class);
+    RULES_ANNOUNCEMENT(12, RulesAnnouncement.class),
+    LOAD_REPORT(13, LoadReport.class),
+    COPY_REQUEST(14, CopyRequest.class),
+    TABLE_COPY(15, TableCopy.class);
 
     private final byte number;
     private final Class<? extends Message> type;
--- a/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
@@ -18,11 +18,13 @@
 import org.sassafrastrail.fairness.LedgerKey;
 import org.sassafrastrail.fairness.LedgerWriter;
 import org.sassafrastrail.messages.AccountDemand;
+import org.sassafrastrail.messages.CopiedRow;
 import org.sassafrastrail.messages.EvidenceEntry;
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.messages.MoveProgress;
 import org.sassafrastrail.messages.Suspension;
 import org.sassafrastrail.messages.UpstreamEndpoint;
+import org.sassafrastrail.messages.UpstreamLoad;
 import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.AttemptIdentifier;
 import org.sassafrastrail.model.FailureDomainName;
@@ -52,6 +54,7 @@
     private static final List<Class<?>> PARTS = List.of(
             AccountDemand.class,
             AttemptIdentifier.class,
+            CopiedRow.class,
             EvidenceEntry.class,
             GrantIdentifier.class,
             LedgerEntry.class,
@@ -62,6 +65,7 @@
             RuleDocument.class,
             Suspension.class,
             TrafficShare.class,
+            UpstreamLoad.class,
             UpstreamEndpoint.class,
             UpstreamProfile.class);
 
--- a/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
+++ b/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
@@ -15,6 +15,7 @@
 import org.sassafrastrail.messages.AccountDemand;
 import org.sassafrastrail.messages.AttemptQuery;
 import org.sassafrastrail.messages.AttemptReport;
+import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.Demand;
 import org.sassafrastrail.messages.EvidenceEntry;
 import org.sassafrastrail.messages.EvidenceUpdate;
@@ -23,13 +24,16 @@
 import org.sassafrastrail.messages.Heartbeat;
 import org.sassafrastrail.messages.Hello;
 import org.sassafrastrail.messages.LedgerUpdate;
+import org.sassafrastrail.messages.LoadReport;
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.messages.MoveProgress;
 import org.sassafrastrail.messages.MoveUpdate;
 import org.sassafrastrail.messages.RulesAnnouncement;
 import org.sassafrastrail.messages.RulesRequest;
 import org.sassafrastrail.messages.Suspension;
+import org.sassafrastrail.messages.TableCopy;
 import org.sassafrastrail.messages.UpstreamEndpoint;
+import org.sassafrastrail.messages.UpstreamLoad;
 import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.AttemptIdentifier;
 import org.sassafrastrail.model.FailureDomainName;
@@ -66,6 +70,9 @@
         return Stream.of(
                 new Hello(1, "key", NODE, LIFE, Optional.of(new UpstreamEndpoint(profile, 8080))),
                 new Hello(1, "key", NODE, LIFE, Optional.empty()),
+                new LoadReport(List.of(new UpstreamLoad("i-1", 3, 4000), new UpstreamLoad("i-2", 1, 0))),
+                new CopyRequest("servers", 17),
+                new TableCopy("servers", 18, List.of()),
                 new Demand(List.of(new AccountDemand(new AccountName("kitchen"), 3, 100, 20))),
                 new GrantOffer(GRANT, new AccountName("kitchen"), 1000),
                 new GrantReturn(GRANT, GrantReturnReason.NO_DEMAND),
