Close the transport of upstream connections that wait for an answer

Cause: Undertow's client, told to close while it waits for an answer, marks itself closed and leaves the socket open (seen in isolation: the socket was open a second and a half later, and closed at once when its transport was taken out and closed). Ruled out: the selector's deferred close, a blocked thread.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -19,7 +19,6 @@
 import org.sassafrastrail.gate.AttemptResult;
 import org.sassafrastrail.gate.Upstream;
 import org.xnio.ChannelListeners;
-import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -71,13 +70,13 @@
     void abandon() {
         ended = true;
         if (connection != null) {
-            IoUtils.safeClose(connection);
+            TransportClose.close(connection);
         }
     }
 
     private void send(ClientConnection opened) {
         if (ended) {
-            IoUtils.safeClose(opened);
+            TransportClose.close(opened);
             return;
         }
         connection = opened;
@@ -124,7 +123,7 @@
         keepFor = keepFor(headers);
         source = exchange.getResponseChannel();
         if (kind == AnswerKind.DECLINED || kind == AnswerKind.WRONG_UPSTREAM) {
-            IoUtils.safeClose(connection);
+            TransportClose.close(connection);
             end(kind == AnswerKind.DECLINED ? new AttemptResult.Declined() : new AttemptResult.WrongUpstream());
             return;
         }
@@ -175,7 +174,7 @@
 
     private void whole() {
         if (keepFor.isZero()) {
-            IoUtils.safeClose(connection);
+            TransportClose.close(connection);
         } else {
             connections.keep(upstream, connection, keepFor);
         }
@@ -184,7 +183,7 @@
 
     private void lost() {
         if (connection != null) {
-            IoUtils.safeClose(connection);
+            TransportClose.close(connection);
         }
         end(answering ? new AttemptResult.Broken() : new AttemptResult.Lost());
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnections.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnections.java
@@ -15,7 +15,6 @@
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import org.sassafrastrail.gate.Upstream;
-import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.XnioExecutor;
@@ -77,7 +76,7 @@
             if (next.isUsable()) {
                 return Optional.of(next.connection());
             }
-            IoUtils.safeClose(next.connection());
+            TransportClose.close(next.connection());
         }
         return Optional.empty();
     }
@@ -100,7 +99,7 @@
         @Override
         public void completed(ClientConnection connection) {
             if (answered) {
-                IoUtils.safeClose(connection);
+                TransportClose.close(connection);
                 return;
             }
             answered = true;
