Answer a read of no bytes at once, so that large answers are read whole

Cause: InputStream.readAllBytes reads no bytes when its buffer is just full, and the answer's body took that for silence and gave up after its patience. The new case of UndertowCallerTest failed without the change.

--- a/http/src/main/java/org/sassafrastrail/http/UndertowAnswer.java
+++ b/http/src/main/java/org/sassafrastrail/http/UndertowAnswer.java
@@ -68,6 +68,9 @@
 
         @Override
         public int read(byte[] target, int offset, int length) throws IOException {
+            if (length == 0) {
+                return 0;
+            }
             if (ended) {
                 return -1;
             }
--- a/http/src/test/java/org/sassafrastrail/http/UndertowCallerTest.java
+++ b/http/src/test/java/org/sassafrastrail/http/UndertowCallerTest.java
@@ -38,22 +38,33 @@
 
     @Test
     void aChunkWhoseLengthComesBeforeItsBytesIsWaitedFor() throws Exception {
+        assertThat(bodyOf(
+                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                        "5\r\n",
+                        "whole",
+                        "\r\n",
+                        "7\r\n",
+                        " answer",
+                        "\r\n0\r\n\r\n"))
+                .isEqualTo("whole answer");
+    }
+
+    @Test
+    void anAnswerThatIsLargerThanTheReadersBufferIsReadWhole() throws Exception {
+        String body = "x".repeat(20_000);
+        assertThat(bodyOf("HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n" + body))
+                .isEqualTo(body);
+    }
+
+    private String bodyOf(String... pieces) throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            CompletableFuture<Void> served = CompletableFuture.runAsync(() -> serve(
-                    server,
-                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-                    "5\r\n",
-                    "whole",
-                    "\r\n",
-                    "7\r\n",
-                    " answer",
-                    "\r\n0\r\n\r\n"));
+            CompletableFuture<Void> served = CompletableFuture.runAsync(() -> serve(server, pieces));
             HttpResult result = caller.call(HttpCall.get("127.0.0.1", server.getLocalPort(), "/", PATIENCE));
             try (HttpAnswer answer = ((HttpResult.Answered) result).answer()) {
-                assertThat(new String(answer.body().readAllBytes(), StandardCharsets.UTF_8))
-                        .isEqualTo("whole answer");
+                return new String(answer.body().readAllBytes(), StandardCharsets.UTF_8);
+            } finally {
+                served.get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
             }
-            served.get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
         }
     }
 
