--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/ArchitectureTest.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/ArchitectureTest.java
@@ -26,7 +26,8 @@
         ROOT + "messages..",
         ROOT + "rollout..",
         ROOT + "router.core..",
-        ROOT + "sidecar.core.."
+        ROOT + "sidecar.core..",
+        ROOT + "gate.."
     };
 
     @ArchTest
@@ -75,7 +76,8 @@
                     ROOT + "messages..",
                     ROOT + "rollout..",
                     ROOT + "router.core..",
-                    ROOT + "sidecar.core..")
+                    ROOT + "sidecar.core..",
+                    ROOT + "gate..")
             .should()
             .beFinal();
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/AccountUsage.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AccountUsage.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Map;
+import java.util.stream.Collectors;
 
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -25,6 +27,21 @@
         return new AccountUsage(fading, accounts.plus(account, new Used(tokens(account, now) + tokens, now)));
     }
 
+    /** What accounts got, as it counts now, without those that got less than a token. */
+    PMap<String, Long> now(Instant now) {
+        return HashTreePMap.from(accounts.keySet().stream()
+                .filter(account -> tokens(account, now) >= 1)
+                .collect(Collectors.toMap(account -> account, account -> Math.round(tokens(account, now)))));
+    }
+
+    /** The usage that was reported at a moment. */
+    AccountUsage reported(PMap<String, Long> tokens, Instant now) {
+        return new AccountUsage(
+                fading,
+                HashTreePMap.from(tokens.entrySet().stream()
+                        .collect(Collectors.toMap(Map.Entry::getKey, entry -> new Used(entry.getValue(), now)))));
+    }
+
     double tokens(String account, Instant now) {
         Used used = accounts.get(account);
         if (used == null) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/BeliefHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/BeliefHandler.java
@@ -77,7 +77,10 @@
     }
 
     Transition<GateState, GateAction> peerReported(GateState state, GateEvent.PeerReported event, Instant now) {
-        return scheduler.sendAll(state.with(state.peers().reported(event.peer(), event.loads())), now);
+        return scheduler.sendAll(
+                state.with(state.peers().reported(event.peer(), event.loads()))
+                        .with(state.usage().reported(event.peer(), event.usage(), now)),
+                now);
     }
 
     Transition<GateState, GateAction> peerLost(GateState state, GateEvent.PeerLost event, Instant now) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GateAction.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateAction.java
@@ -74,8 +74,10 @@
      * Tell the other gateways what this one has at upstreams.
      *
      * @param loads its load, by upstream
+     * @param usage the tokens that each client account got here lately
      */
-    record TellPeers(PMap<UpstreamIdentifier, UpstreamLoadElsewhere> loads) implements GateAction {}
+    record TellPeers(PMap<UpstreamIdentifier, UpstreamLoadElsewhere> loads, PMap<String, Long> usage)
+            implements GateAction {}
 
     /** All requests have their answers and no new ones are expected: the process may end. */
     record Drained() implements GateAction {}
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GateEvent.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateEvent.java
@@ -79,8 +79,10 @@
      *
      * @param peer its name
      * @param loads its load, by upstream; replaces what it said before
+     * @param usage the tokens that each client account got there lately; replaces what it said before
      */
-    record PeerReported(String peer, PMap<UpstreamIdentifier, UpstreamLoadElsewhere> loads) implements GateEvent {}
+    record PeerReported(String peer, PMap<UpstreamIdentifier, UpstreamLoadElsewhere> loads, PMap<String, Long> usage)
+            implements GateEvent {}
 
     /**
      * The link to another gateway is down.
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GateState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateState.java
@@ -22,7 +22,7 @@
  * @param waiting the requests that wait for an attempt, oldest first
  * @param domainsOut the failure domains that are out of service
  * @param peers the other gateways
- * @param usage what each client account got lately
+ * @param usage what each client account got lately, here and at each other gateway
  * @param budgets the repeats of each target
  * @param stoppingSince since when the gateway is stopping, empty if it is not
  */
@@ -33,7 +33,7 @@
         PSet<Long> waiting,
         PSet<FailureDomainName> domainsOut,
         Peers peers,
-        AccountUsage usage,
+        FleetUsage usage,
         PMap<TargetName, RepeatBudget> budgets,
         Optional<Instant> stoppingSince) {
 
@@ -51,7 +51,7 @@
                 OrderedPSet.empty(),
                 HashTreePSet.empty(),
                 Peers.NONE,
-                AccountUsage.fadingIn(quotaWindow),
+                FleetUsage.fadingIn(quotaWindow),
                 HashTreePMap.empty(),
                 Optional.empty());
     }
@@ -124,7 +124,7 @@
         return new GateState(table, upstreams, calls, waiting, domainsOut, next, usage, budgets, stoppingSince);
     }
 
-    GateState with(AccountUsage next) {
+    GateState with(FleetUsage next) {
         return new GateState(table, upstreams, calls, waiting, domainsOut, peers, next, budgets, stoppingSince);
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/PromptPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/PromptPlacement.java
@@ -27,6 +27,9 @@
     /** A place with what speaks against it, in tokens. */
     private record Weighed(Place place, double weight) {}
 
+    /** An upstream with its hash for the session. */
+    private record Hashed(Candidate candidate, long hash) {}
+
     @Override
     public Optional<Place> place(Call call, Stream<Candidate> candidates, double unheard) {
         Prompt prompt = call.description().prompt();
@@ -42,8 +45,10 @@
     private static List<Candidate> ranked(Prompt prompt, Stream<Candidate> candidates) {
         String session = prompt.session().map(PromptPart::identifier).orElse("");
         return candidates
-                .sorted(Comparator.comparingLong(
-                        candidate -> Mixing.mix(candidate.identifier().value() + "/" + session)))
+                .map(candidate ->
+                        new Hashed(candidate, Mixing.mix(candidate.identifier().value() + "/" + session)))
+                .sorted(Comparator.comparingLong(Hashed::hash))
+                .map(Hashed::candidate)
                 .toList();
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
-import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -32,25 +31,38 @@
     }
 
     /**
-     * Sends what can be sent of one target. A fresh request that finds no place holds up those behind it; one that is
-     * tried again does not, because it may have tried all upstreams.
+     * Sends what can be sent of one target. Requests that are tried again go first and hold up nobody, because they may
+     * have tried all upstreams. Of the fresh ones, one that finds no place holds up those behind it.
      */
     Transition<GateState, GateAction> send(GateState state, TargetName target, Instant now) {
-        List<Call> queue = state.waitingCalls()
-                .filter(call -> call.target().equals(target))
-                .sorted(Comparator.<Call>comparingDouble(call -> state.usage().tokens(account(call), now))
-                        .thenComparing(Call::waitingSince))
-                .toList();
-        for (Call call : queue) {
-            Optional<Placement.Place> place = place(state, call, now);
-            if (place.isPresent()) {
-                return dispatch(state, call, place.get(), now).and(next -> send(next, target, now));
-            }
-            if (call.attempts() == 0) {
-                return Transition.stay(state);
-            }
-        }
-        return Transition.stay(state);
+        Optional<Transition<GateState, GateAction>> repeated = waiting(state, target)
+                .filter(call -> call.attempts() > 0)
+                .flatMap(call -> dispatch(state, call, now).stream())
+                .findFirst();
+        return repeated.or(() -> next(state, target, now).flatMap(call -> dispatch(state, call, now)))
+                .map(sent -> sent.and(next -> send(next, target, now)))
+                .orElseGet(() -> Transition.stay(state));
+    }
+
+    private static Stream<Call> waiting(GateState state, TargetName target) {
+        return state.waitingCalls().filter(call -> call.target().equals(target));
+    }
+
+    /** The fresh request of the account that got least, and of its requests the oldest. */
+    private static Optional<Call> next(GateState state, TargetName target, Instant now) {
+        return waiting(state, target)
+                .filter(call -> call.attempts() == 0)
+                .map(call -> new Turn(call, state.usage().tokens(account(call), now)))
+                .min(Comparator.comparingDouble(Turn::used)
+                        .thenComparing(turn -> turn.call().waitingSince()))
+                .map(Turn::call);
+    }
+
+    /** A waiting request and what its account got lately. */
+    private record Turn(Call call, double used) {}
+
+    private Optional<Transition<GateState, GateAction>> dispatch(GateState state, Call call, Instant now) {
+        return place(state, call, now).map(place -> dispatch(state, call, place, now));
     }
 
     private Optional<Placement.Place> place(GateState state, Call call, Instant now) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TimeHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TimeHandler.java
@@ -39,7 +39,8 @@
         return state.peers().tellingIsDue(loads, now, limits.tellPeersEvery())
                 ? Transition.<GateState, GateAction>stay(
                                 state.with(state.peers().told(loads, now)))
-                        .then(new GateAction.TellPeers(loads))
+                        .then(new GateAction.TellPeers(
+                                loads, state.usage().here().now(now)))
                 : Transition.stay(state);
     }
 
--- a/gate-core/src/test/java/org/sassafrastrail/gate/Gate.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/Gate.java
@@ -139,7 +139,8 @@
         return handle(new GateEvent.PeerReported(
                 peer,
                 HashTreePMap.singleton(
-                        new UpstreamIdentifier(upstream), new UpstreamLoadElsewhere(running, tokensToRead))));
+                        new UpstreamIdentifier(upstream), new UpstreamLoadElsewhere(running, tokensToRead)),
+                HashTreePMap.empty()));
     }
 
     List<GateAction> register(Upstream... upstreams) {
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GateCoreTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GateCoreTest.java
@@ -6,6 +6,7 @@
 import java.util.stream.LongStream;
 
 import org.junit.jupiter.api.Test;
+import org.pcollections.HashTreePMap;
 import org.sassafrastrail.model.RefusalReason;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -72,6 +73,21 @@
                 .isEqualTo(4);
     }
 
+    @Test
+    void whatAnAccountGotAtOtherGatewaysCounts() {
+        registerEngines();
+        Prompt prompt = Gate.prompt("session", 3000, 40_000);
+        gate.arrive(1, TELL, prompt, "here");
+        gate.arrive(2, TELL, prompt, "here");
+        gate.handle(new GateEvent.PeerReported(
+                "peer", HashTreePMap.empty(), HashTreePMap.singleton("elsewhere", 900_000L)));
+        gate.arrive(3, TELL, prompt, "elsewhere");
+        gate.arrive(4, TELL, prompt, "here");
+        List<GateAction> actions = gate.handle(new GateEvent.AnswerBegan(1, 1));
+        assertThat(Gate.only(actions, GateAction.Dispatch.class).orElseThrow().call())
+                .isEqualTo(4);
+    }
+
     @Test
     void anUpstreamThatLeavesOrIsGoneOrInADomainOutGetsNothing() {
         gate.register(Gate.leaving(Gate.upstream("one", Gate.DESK)));
--- a/gateway/src/main/java/org/sassafrastrail/gateway/AttemptListener.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/AttemptListener.java
@@ -20,6 +20,6 @@
     /** No more of the body is there at the moment. */
     void pauses();
 
-    /** The attempt ended, with the body whole or not. */
-    void ends(AttemptResult result);
+    /** The attempt ended, with the body whole or not; the cause is for people, empty if all went well. */
+    void ends(AttemptResult result, String cause);
 }
--- /dev/null
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallLog.java
@@ -0,0 +1,63 @@
+package org.sassafrastrail.gateway;
+
+import org.sassafrastrail.gate.AttemptResult;
+import org.sassafrastrail.gate.Upstream;
+import org.sassafrastrail.model.RefusalReason;
+import org.sassafrastrail.runtime.EventLog;
+import org.sassafrastrail.runtime.LogField;
+import org.sassafrastrail.runtime.Metrics;
+
+/** Notes requests and attempts in the log and the metrics. Attempts that went well show in the request's last line. */
+final class CallLog implements CallRecorder {
+
+    private static final String NONE = "-";
+
+    private final Metrics metrics;
+    private final EventLog log;
+
+    CallLog(Metrics metrics, EventLog log) {
+        this.metrics = metrics;
+        this.log = log;
+    }
+
+    @Override
+    public void refusedAtTheDoor(String request, String place, RefusalReason reason, String configuration) {
+        metrics.count("refused", reason);
+        log.info(
+                "refused",
+                LogField.of("request", request.isEmpty() ? NONE : request),
+                LogField.of("reason", reason),
+                LogField.of("place", place),
+                LogField.of("configuration", configuration));
+    }
+
+    @Override
+    public void attemptEnded(String request, int attempt, Upstream upstream, AttemptResult result, String cause) {
+        String name = result.getClass().getSimpleName();
+        metrics.count("attempts." + name, 1);
+        if (!(result instanceof AttemptResult.Delivered)) {
+            log.info(
+                    "attempt-ended",
+                    LogField.of("request", request),
+                    LogField.of("attempt", attempt),
+                    LogField.of("upstream", upstream.identifier()),
+                    LogField.of("result", name),
+                    LogField.of("cause", cause));
+        }
+    }
+
+    @Override
+    public void finished(FinishedCall call) {
+        metrics.time("answer." + call.description().route().name(), call.took().toNanos());
+        log.info(
+                "answered",
+                LogField.of("request", call.description().request()),
+                LogField.of("route", call.description().route().name()),
+                LogField.of(
+                        "account",
+                        call.description().account().map(Object::toString).orElse(NONE)),
+                LogField.of("status", call.status()),
+                LogField.of("ending", call.ending()),
+                LogField.of("took-ms", call.took().toMillis()));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallRecorder.java
@@ -0,0 +1,37 @@
+package org.sassafrastrail.gateway;
+
+import org.sassafrastrail.gate.AttemptResult;
+import org.sassafrastrail.gate.Upstream;
+import org.sassafrastrail.model.RefusalReason;
+
+/** Notes what became of requests and attempts, for those who look for a cause later. */
+interface CallRecorder {
+
+    /**
+     * A request was refused before it was read whole.
+     *
+     * @param request the identifier that the caller gave it, empty if it gave none
+     * @param place the host and path that it named
+     * @param reason why
+     * @param configuration the version of the configuration that decided, empty if there was none
+     */
+    void refusedAtTheDoor(String request, String place, RefusalReason reason, String configuration);
+
+    /**
+     * An attempt ended.
+     *
+     * @param request the caller's identifier of the request
+     * @param attempt the number of the attempt
+     * @param upstream where it was
+     * @param result how it ended
+     * @param cause what there was in place of an answer, or its status
+     */
+    void attemptEnded(String request, int attempt, Upstream upstream, AttemptResult result, String cause);
+
+    /**
+     * The exchange with a caller is over.
+     *
+     * @param call what became of it
+     */
+    void finished(FinishedCall call);
+}
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -10,13 +10,13 @@
 
 import io.undertow.client.ClientRequest;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
 import org.sassafrastrail.gate.AttemptResult;
 import org.sassafrastrail.gate.CallDescription;
 import org.sassafrastrail.gate.GateAction;
 import org.sassafrastrail.gate.GateEvent;
+import org.sassafrastrail.gate.Upstream;
 import org.sassafrastrail.http.Problem;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
@@ -39,11 +39,13 @@
     private final CallerProtocol protocol;
     private final UpstreamConnections connections;
     private final Consumer<GateEvent> events;
+    private final CallRecorder recorder;
     private final Clock clock;
     private final Optional<EventCutter> cutter;
 
     private UpstreamAttempt attempt;
     private int attemptNumber;
+    private Upstream upstream;
     private UpstreamHead head;
     private Optional<ByteArrayOutputStream> gathered = Optional.empty();
     private Optional<GatheredAnswer> kept = Optional.empty();
@@ -59,6 +61,7 @@
             CallerProtocol protocol,
             UpstreamConnections connections,
             Consumer<GateEvent> events,
+            CallRecorder recorder,
             Clock clock) {
         this.exchange = exchange;
         this.number = request.number();
@@ -67,6 +70,7 @@
         this.protocol = protocol;
         this.connections = connections;
         this.events = events;
+        this.recorder = recorder;
         this.clock = clock;
         this.cutter = description.route().resumable() ? Optional.of(new EventCutter()) : Optional.empty();
     }
@@ -103,29 +107,31 @@
         if (closed) {
             return;
         }
+        attemptNumber = dispatch.attempt();
+        upstream = dispatch.upstream();
+        head = null;
+        cutter.ifPresent(EventCutter::forgetPartial);
+        gathered = Optional.empty();
+        attempt =
+                new UpstreamAttempt(upstream, description.request(), this::message, body, protocol, connections, this);
+        attempt.start();
+    }
+
+    /** Makes the request to the upstream at the moment when it can be sent, or none if the caller's time is up by then. */
+    private Optional<ClientRequest> message() {
         Duration left = Duration.between(clock.instant(), description.giveUpAt());
         if (left.isNegative() || left.isZero()) {
-            // The decision came late, on a machine that is slow or was frozen: nothing is sent any more.
-            attemptNumber = dispatch.attempt();
-            ended(new AttemptResult.NotConnected());
-            return;
+            return Optional.empty();
         }
         Optional<String> resumeAfter = sink == null ? Optional.empty() : cutter.flatMap(EventCutter::lastIdentifier);
-        HeaderMap headers =
-                protocol.toUpstream(exchange.getRequestHeaders(), description, dispatch.upstream(), left, resumeAfter);
         ClientRequest message =
                 new ClientRequest().setMethod(exchange.getRequestMethod()).setPath(target());
-        headers.forEach(header -> message.getRequestHeaders().addAll(header.getHeaderName(), header));
+        protocol.toUpstream(exchange.getRequestHeaders(), description, upstream, left, resumeAfter)
+                .forEach(header -> message.getRequestHeaders().addAll(header.getHeaderName(), header));
         if (body.length > 0) {
             message.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
         }
-        cutter.ifPresent(EventCutter::forgetPartial);
-        gathered = Optional.empty();
-        head = null;
-        attemptNumber = dispatch.attempt();
-        attempt = new UpstreamAttempt(
-                dispatch.upstream(), description.request(), message, body, protocol, connections, this);
-        attempt.start();
+        return Optional.of(message);
     }
 
     private String target() {
@@ -250,27 +256,28 @@
     }
 
     @Override
-    public void ends(AttemptResult result) {
+    public void ends(AttemptResult result, String cause) {
         boolean whole = result instanceof AttemptResult.Delivered;
         if (whole && gathered.isPresent()) {
             GatheredAnswer answer = new GatheredAnswer(head, gathered.get().toByteArray());
             if (head.kind() == AnswerKind.FAILED) {
                 kept = Optional.of(answer);
-                ended(new AttemptResult.Failed());
+                ended(new AttemptResult.Failed(), "status " + head.status());
             } else {
                 deliver(answer);
-                ended(result);
+                ended(result, cause);
             }
         } else if (whole) {
             finishStream();
-            ended(result);
+            ended(result, cause);
         } else {
             boolean partial = result instanceof AttemptResult.Broken && sink != null;
-            ended(result instanceof AttemptResult.Broken && !partial ? new AttemptResult.Lost() : result);
+            ended(result instanceof AttemptResult.Broken && !partial ? new AttemptResult.Lost() : result, cause);
         }
     }
 
-    private void ended(AttemptResult result) {
+    private void ended(AttemptResult result, String cause) {
+        recorder.attemptEnded(description.request(), attemptNumber, upstream, result, cause);
         events.accept(new GateEvent.AttemptEnded(number, attemptNumber, result));
     }
 
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -41,7 +41,7 @@
     private final CallerProtocol protocol;
     private final Supplier<GateState> state;
     private final Consumer<GateEvent> events;
-    private final Consumer<FinishedCall> finished;
+    private final CallRecorder recorder;
     private final Clock clock;
     private final ByteBufferPool buffers;
     private final AtomicLong numbers = new AtomicLong();
@@ -54,13 +54,13 @@
             CallerProtocol protocol,
             Supplier<GateState> state,
             Consumer<GateEvent> events,
-            Consumer<FinishedCall> finished,
+            CallRecorder recorder,
             Clock clock,
             ByteBufferPool buffers) {
         this.protocol = protocol;
         this.state = state;
         this.events = events;
-        this.finished = finished;
+        this.recorder = recorder;
         this.clock = clock;
         this.buffers = buffers;
     }
@@ -130,7 +130,7 @@
         UpstreamConnections pool =
                 connections.computeIfAbsent(exchange.getIoThread(), thread -> new UpstreamConnections(thread, buffers));
         CallerRequest request = new CallerRequest(number, description, body);
-        CallerExchange call = new CallerExchange(exchange, request, protocol, pool, events, clock);
+        CallerExchange call = new CallerExchange(exchange, request, protocol, pool, events, recorder, clock);
         calls.put(number, call);
         bodyBytes.addAndGet(body.length);
         exchange.addExchangeCompleteListener((done, next) -> {
@@ -173,7 +173,7 @@
             call.closed();
             bodyBytes.addAndGet(-call.bodyBytes());
             Duration took = Duration.between(call.description().arrivedAt(), clock.instant());
-            finished.accept(new FinishedCall(number, call.description(), call.status(), call.ending(), took));
+            recorder.finished(new FinishedCall(number, call.description(), call.status(), call.ending(), took));
         }
     }
 
@@ -184,7 +184,11 @@
         }
     }
 
-    private static void refuse(HttpServerExchange exchange, int status, RefusalReason reason) {
-        Problems.refused(status, reason, "").send(exchange, COME_BACK_AFTER);
+    private void refuse(HttpServerExchange exchange, int status, RefusalReason reason) {
+        String request = protocol.read(exchange.getRequestHeaders()).request().orElse("");
+        String configuration =
+                state.get().table().map(table -> Long.toString(table.version())).orElse("none");
+        recorder.refusedAtTheDoor(request, exchange.getHostName() + exchange.getRequestPath(), reason, configuration);
+        Problems.refused(status, reason, request).send(exchange, COME_BACK_AFTER);
     }
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GateActions.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GateActions.java
@@ -6,6 +6,8 @@
 
 import io.undertow.util.StatusCodes;
 import org.sassafrastrail.gate.GateAction;
+import org.sassafrastrail.messages.AccountUse;
+import org.sassafrastrail.messages.LoadReport;
 import org.sassafrastrail.messages.UpstreamLoad;
 import org.sassafrastrail.runtime.ActionExecutor;
 import org.sassafrastrail.runtime.EventLog;
@@ -16,17 +18,12 @@
 final class GateActions implements ActionExecutor<GateAction> {
 
     private final CallerFrontEnd callers;
-    private final Consumer<List<UpstreamLoad>> peers;
+    private final Consumer<LoadReport> peers;
     private final Runnable drained;
     private final Metrics metrics;
     private final EventLog log;
 
-    GateActions(
-            CallerFrontEnd callers,
-            Consumer<List<UpstreamLoad>> peers,
-            Runnable drained,
-            Metrics metrics,
-            EventLog log) {
+    GateActions(CallerFrontEnd callers, Consumer<LoadReport> peers, Runnable drained, Metrics metrics, EventLog log) {
         this.callers = callers;
         this.peers = peers;
         this.drained = drained;
@@ -55,17 +52,25 @@
         } else if (action instanceof GateAction.InForce inForce) {
             log.info("configuration-in-force", LogField.of("version", inForce.version()));
         } else if (action instanceof GateAction.TellPeers tell) {
-            peers.accept(tell.loads().entrySet().stream()
-                    .map(load -> new UpstreamLoad(
-                            load.getKey().value(),
-                            load.getValue().running(),
-                            load.getValue().tokensToRead()))
-                    .toList());
+            peers.accept(report(tell));
         } else if (action instanceof GateAction.Drained) {
             drained.run();
         }
     }
 
+    private static LoadReport report(GateAction.TellPeers tell) {
+        List<UpstreamLoad> loads = tell.loads().entrySet().stream()
+                .map(load -> new UpstreamLoad(
+                        load.getKey().value(),
+                        load.getValue().running(),
+                        load.getValue().tokensToRead()))
+                .toList();
+        List<AccountUse> accounts = tell.usage().entrySet().stream()
+                .map(use -> new AccountUse(use.getKey(), use.getValue()))
+                .toList();
+        return new LoadReport(loads, accounts);
+    }
+
     private void dispatch(GateAction.Dispatch dispatch) {
         if (dispatch.attempt() > 1) {
             metrics.count("attempts-repeated", 1);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -65,8 +65,9 @@
         this.surroundings = surroundings;
         DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
         this.worker = worker();
-        this.callers = new CallerFrontEnd(protocol, this::state, this::post, this::finished, clock, buffers);
-        GateActions actions = new GateActions(callers, loads -> peers().tell(loads), drained::countDown, metrics, log);
+        this.callers = new CallerFrontEnd(protocol, this::state, this::post, new CallLog(metrics, log), clock, buffers);
+        GateActions actions =
+                new GateActions(callers, report -> peers().tell(report), drained::countDown, metrics, log);
         this.control = new ControlLoop<>(
                 "control",
                 new GateCore(settings.limits()),
@@ -119,20 +120,6 @@
         return state().hasCalls();
     }
 
-    private void finished(FinishedCall call) {
-        metrics.time("answer." + call.description().route().name(), call.took().toNanos());
-        log.info(
-                "answered",
-                LogField.of("request", call.description().request()),
-                LogField.of("route", call.description().route().name()),
-                LogField.of(
-                        "account",
-                        call.description().account().map(Object::toString).orElse("-")),
-                LogField.of("status", call.status()),
-                LogField.of("ending", call.ending()),
-                LogField.of("took-ms", call.took().toMillis()));
-    }
-
     @Override
     public void start() {
         control.start();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.pcollections.HashTreePMap;
 import org.sassafrastrail.durable.FeedRow;
@@ -14,13 +15,13 @@
 import org.sassafrastrail.gate.GateEvent;
 import org.sassafrastrail.gate.UpstreamIdentifier;
 import org.sassafrastrail.gate.UpstreamLoadElsewhere;
+import org.sassafrastrail.messages.AccountUse;
 import org.sassafrastrail.messages.CopiedRow;
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.Hello;
 import org.sassafrastrail.messages.LoadReport;
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.messages.TableCopy;
-import org.sassafrastrail.messages.UpstreamLoad;
 import org.sassafrastrail.model.Incarnation;
 import org.sassafrastrail.model.NodeName;
 import org.sassafrastrail.runtime.EventLog;
@@ -50,7 +51,9 @@
     private final LinkSettings linkSettings;
     private final LinkServer server;
     private final Map<String, LinkDialer> dialers = new ConcurrentHashMap<>();
-    private final Map<String, Link> links = new ConcurrentHashMap<>();
+    /** The links to each peer, oldest first; there are two where both know the other as a seed. */
+    private final Map<String, List<Link>> links = new ConcurrentHashMap<>();
+
     private final Map<String, FollowedTable> tables = new ConcurrentHashMap<>();
 
     PeerLinks(GatewaySettings settings, Incarnation life, Consumer<GateEvent> events, Metrics metrics, EventLog log) {
@@ -90,12 +93,14 @@
 
     @Override
     public void meet(Map<String, String> gateways) {
-        gateways.values().forEach(this::dial);
+        // Of two that are registered the one with the smaller address dials, so that there is one link between them.
+        gateways.values().stream()
+                .filter(address -> settings.links().compareTo(address) < 0)
+                .forEach(this::dial);
     }
 
-    /** Of two gateways the one with the smaller address dials, so that there is one link between them. */
     private void dial(String address) {
-        if (!address.isEmpty() && settings.links().compareTo(address) < 0) {
+        if (!address.isEmpty() && !address.equals(settings.links())) {
             dialers.computeIfAbsent(address, place -> {
                 LinkDialer dialer = new LinkDialer(host(place), port(place), REDIAL, linkSettings);
                 dialer.start();
@@ -111,21 +116,22 @@
 
     @Override
     public void ask(String table, long version) {
-        links.values().forEach(link -> link.send(new CopyRequest(table, version)));
+        sendToAll(new CopyRequest(table, version));
+    }
+
+    /** Tells all peers what this gateway has at upstreams, and what client accounts got here. */
+    void tell(LoadReport report) {
+        sendToAll(report);
     }
 
-    /** Tells all peers what this gateway has at upstreams. */
-    void tell(List<UpstreamLoad> loads) {
-        links.values().forEach(link -> link.send(new LoadReport(loads)));
+    private void sendToAll(Message message) {
+        links.values().forEach(peer -> peer.stream().findFirst().ifPresent(link -> link.send(message)));
     }
 
     @Override
     public void opened(Link link) {
         String peer = link.peer().node().value();
-        Link before = links.put(peer, link);
-        if (before != null) {
-            before.close();
-        }
+        links.merge(peer, List.of(link), PeerLinks::joined);
         log.info("peer-linked", LogField.of("peer", peer), LogField.of("host", link.host()));
         events.accept(new GateEvent.PeerLinked(peer));
     }
@@ -138,7 +144,9 @@
                     HashTreePMap.from(report.loads().stream()
                             .collect(Collectors.toMap(
                                     load -> new UpstreamIdentifier(load.upstream()),
-                                    load -> new UpstreamLoadElsewhere(load.running(), load.tokensToRead()))))));
+                                    load -> new UpstreamLoadElsewhere(load.running(), load.tokensToRead())))),
+                    HashTreePMap.from(report.accounts().stream()
+                            .collect(Collectors.toMap(AccountUse::account, AccountUse::tokens)))));
         } else if (message instanceof CopyRequest request) {
             Optional.ofNullable(tables.get(request.table()))
                     .map(FollowedTable::copy)
@@ -178,9 +186,16 @@
     @Override
     public void closed(Link link, LinkClosure reason) {
         String peer = link.peer().node().value();
-        if (links.remove(peer, link)) {
+        List<Link> left = links.computeIfPresent(peer, (name, present) -> present.stream()
+                .filter(other -> other != link)
+                .toList());
+        if (left != null && left.isEmpty() && links.remove(peer, left)) {
             log.info("peer-lost", LogField.of("peer", peer), LogField.of("reason", reason));
             events.accept(new GateEvent.PeerLost(peer));
         }
     }
+
+    private static List<Link> joined(List<Link> present, List<Link> added) {
+        return Stream.concat(present.stream(), added.stream()).toList();
+    }
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -33,7 +34,7 @@
 
     private final Upstream upstream;
     private final String request;
-    private final ClientRequest message;
+    private final Supplier<Optional<ClientRequest>> message;
     private final ByteBuffer body;
     private final CallerProtocol protocol;
     private final UpstreamConnections connections;
@@ -48,7 +49,7 @@
     UpstreamAttempt(
             Upstream upstream,
             String request,
-            ClientRequest message,
+            Supplier<Optional<ClientRequest>> message,
             byte[] body,
             CallerProtocol protocol,
             UpstreamConnections connections,
@@ -63,7 +64,7 @@
     }
 
     void start() {
-        connections.open(upstream, callback(this::send, () -> end(new AttemptResult.NotConnected())));
+        connections.open(upstream, callback(this::send, cause -> end(new AttemptResult.NotConnected(), cause)));
     }
 
     /** Ends the attempt, whatever it is at. The upstream sees its connection close. */
@@ -80,7 +81,13 @@
             return;
         }
         connection = opened;
-        connection.sendRequest(message, callback(this::sent, this::lost));
+        Optional<ClientRequest> ready = message.get();
+        if (ready.isPresent()) {
+            connection.sendRequest(ready.get(), callback(this::sent, this::lost));
+        } else {
+            connections.keep(upstream, connection, KEEP_ALIVE_UNSAID);
+            end(new AttemptResult.NotConnected(), "no time was left");
+        }
     }
 
     private void sent(ClientExchange exchange) {
@@ -104,11 +111,12 @@
             if (!sink.flush()) {
                 sink.getWriteSetter()
                         .set(ChannelListeners.flushingChannelListener(
-                                ChannelListeners.nullChannelListener(), (channel, failure) -> lost()));
+                                ChannelListeners.nullChannelListener(),
+                                (channel, failure) -> lost("request not written: " + failure.getMessage())));
                 sink.resumeWrites();
             }
         } catch (IOException broken) {
-            lost();
+            lost("request not written: " + broken.getMessage());
         }
     }
 
@@ -117,14 +125,16 @@
         HeaderMap headers = response.getResponseHeaders();
         AnswerKind kind = protocol.kind(request, response.getResponseCode(), headers);
         if (kind == AnswerKind.FOREIGN) {
-            lost();
+            lost("not this request's answer, status " + response.getResponseCode());
             return;
         }
         keepFor = keepFor(headers);
         source = exchange.getResponseChannel();
         if (kind == AnswerKind.DECLINED || kind == AnswerKind.WRONG_UPSTREAM) {
+            end(
+                    kind == AnswerKind.DECLINED ? new AttemptResult.Declined() : new AttemptResult.WrongUpstream(),
+                    "status " + response.getResponseCode());
             TransportClose.close(connection);
-            end(kind == AnswerKind.DECLINED ? new AttemptResult.Declined() : new AttemptResult.WrongUpstream());
             return;
         }
         answering = true;
@@ -163,7 +173,7 @@
                 source.resumeReads();
             }
         } catch (IOException broken) {
-            lost();
+            lost("answer not read: " + broken.getMessage());
         }
     }
 
@@ -173,25 +183,26 @@
     }
 
     private void whole() {
+        end(new AttemptResult.Delivered(), "");
         if (keepFor.isZero()) {
             TransportClose.close(connection);
         } else {
             connections.keep(upstream, connection, keepFor);
         }
-        end(new AttemptResult.Delivered());
     }
 
-    private void lost() {
+    /** The result is told first: closing the connection makes Undertow report a failure of its own. */
+    private void lost(String cause) {
+        end(answering ? new AttemptResult.Broken() : new AttemptResult.Lost(), cause);
         if (connection != null) {
             TransportClose.close(connection);
         }
-        end(answering ? new AttemptResult.Broken() : new AttemptResult.Lost());
     }
 
-    private void end(AttemptResult result) {
+    private void end(AttemptResult result, String cause) {
         if (!ended) {
             ended = true;
-            listener.ends(result);
+            listener.ends(result, cause);
         }
     }
 
@@ -228,7 +239,7 @@
         return length == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(length.trim()));
     }
 
-    private static <T> ClientCallback<T> callback(Consumer<T> done, Runnable failed) {
+    private static <T> ClientCallback<T> callback(Consumer<T> done, Consumer<String> failed) {
         return new ClientCallback<>() {
             @Override
             public void completed(T result) {
@@ -237,7 +248,7 @@
 
             @Override
             public void failed(IOException failure) {
-                failed.run();
+                failed.accept(String.valueOf(failure.getMessage()));
             }
         };
     }
--- a/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
@@ -18,6 +18,7 @@
 import org.sassafrastrail.fairness.LedgerKey;
 import org.sassafrastrail.fairness.LedgerWriter;
 import org.sassafrastrail.messages.AccountDemand;
+import org.sassafrastrail.messages.AccountUse;
 import org.sassafrastrail.messages.CopiedRow;
 import org.sassafrastrail.messages.EvidenceEntry;
 import org.sassafrastrail.messages.Message;
@@ -53,6 +54,7 @@
     private static final List<Class<?>> NUMBERS = List.of(Incarnation.class, Revision.class);
     private static final List<Class<?>> PARTS = List.of(
             AccountDemand.class,
+            AccountUse.class,
             AttemptIdentifier.class,
             CopiedRow.class,
             EvidenceEntry.class,
