Close callers' connections as they fall idle while stopping; look for a caller's close before sending on

And a close that had arrived but that a gateway short of processor time had not come to was noticed only after the request was sent on (GONE). The stop test fails without the loop: the connection stays open past the second allowed.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -54,6 +54,7 @@
     private boolean finishing;
     private boolean closed;
     private Ending ending = Ending.ANSWERED;
+    private Runnable leaveCheck = () -> {};
 
     CallerExchange(
             HttpServerExchange exchange,
@@ -78,6 +79,11 @@
     /** An upstream's whole answer. */
     private record GatheredAnswer(UpstreamHead head, byte[] body) {}
 
+    /** Gives the check for a caller that has left, made before each request to an upstream. */
+    void watchFor(Runnable check) {
+        leaveCheck = check;
+    }
+
     CallDescription description() {
         return description;
     }
@@ -117,8 +123,12 @@
         attempt.start();
     }
 
-    /** Makes the request to the upstream at the moment when it can be sent, or none if the caller's time is up by then. */
+    /** Makes the request to the upstream at the moment when it can be sent, or none if the caller has left or its time is up. */
     private Optional<ClientRequest> message() {
+        leaveCheck.run();
+        if (closed) {
+            return Optional.empty();
+        }
         Duration left = Duration.between(clock.instant(), description.giveUpAt());
         if (left.isNegative() || left.isZero()) {
             return Optional.empty();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -13,8 +13,6 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.ServerConnection;
-import io.undertow.util.AttachmentKey;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
 import org.sassafrastrail.gate.CallDescription;
@@ -36,8 +34,6 @@
     private static final Duration COME_BACK_AFTER = Duration.ofMillis(500);
     private static final Duration LONGEST_PATIENCE = Duration.ofMinutes(1);
 
-    private static final AttachmentKey<AtomicLong> CURRENT_CALL = AttachmentKey.create(AtomicLong.class);
-
     private final CallerProtocol protocol;
     private final Supplier<GateState> state;
     private final Consumer<GateEvent> events;
@@ -47,7 +43,7 @@
     private final AtomicLong numbers = new AtomicLong();
     private final AtomicLong bodyBytes = new AtomicLong();
     private final Map<Long, CallerExchange> calls = new ConcurrentHashMap<>();
-    private final Map<ServerConnection, AtomicLong> open = new ConcurrentHashMap<>();
+    private final OpenConnections open = new OpenConnections(this::left);
     private final Map<XnioIoThread, UpstreamConnections> connections = new ConcurrentHashMap<>();
 
     CallerFrontEnd(
@@ -71,10 +67,10 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
+        long number = numbers.incrementAndGet();
+        open.carries(exchange, number);
+        exchange.addResponseCommitListener(this::endConnectionWhileStopping);
         GateState known = state.get();
-        if (known.stoppingSince().isPresent()) {
-            exchange.setPersistent(false);
-        }
         if (known.table().isEmpty()) {
             refuse(exchange, StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.NO_CONFIGURATION);
             return;
@@ -96,10 +92,15 @@
         } else if (bodyBytes.get() > MOST_BODY_BYTES_AT_ONCE) {
             refuse(exchange, StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.ACCOUNT_QUEUE_FULL);
         } else {
-            readBody(
-                    exchange,
-                    describe(head, route.get(), account),
-                    table.limits().bodyBytes());
+            CallDescription description = describe(head, route.get(), account);
+            readBody(exchange, number, description, table.limits().bodyBytes());
+        }
+    }
+
+    /** Tells the caller with its answer's head that the connection takes no other request. */
+    private void endConnectionWhileStopping(HttpServerExchange exchange) {
+        if (state.get().stoppingSince().isPresent()) {
+            exchange.setPersistent(false);
         }
     }
 
@@ -110,12 +111,12 @@
                 head.request().orElseThrow(), route, account, head.prompt(), now, now.plus(patience));
     }
 
-    private void readBody(HttpServerExchange exchange, CallDescription description, long largest) {
+    private void readBody(HttpServerExchange exchange, long number, CallDescription description, long largest) {
         exchange.setMaxEntitySize(largest);
         exchange.getRequestReceiver()
                 .receiveFullBytes(
-                        (read, body) ->
-                                read.dispatch(SameThreadExecutor.INSTANCE, () -> arrived(read, description, body)),
+                        (read, body) -> read.dispatch(
+                                SameThreadExecutor.INSTANCE, () -> arrived(read, number, description, body)),
                         (read, failure) -> {
                             if (read.isResponseStarted()) {
                                 IoUtils.safeClose(read.getConnection());
@@ -125,8 +126,7 @@
                         });
     }
 
-    private void arrived(HttpServerExchange exchange, CallDescription description, byte[] body) {
-        long number = numbers.incrementAndGet();
+    private void arrived(HttpServerExchange exchange, long number, CallDescription description, byte[] body) {
         UpstreamConnections pool =
                 connections.computeIfAbsent(exchange.getIoThread(), thread -> new UpstreamConnections(thread, buffers));
         CallerRequest request = new CallerRequest(number, description, body);
@@ -137,34 +137,13 @@
             end(number);
             next.proceed();
         });
-        watch(exchange.getConnection(), number);
-        LeaveWatch.watch(exchange, () -> left(number));
+        call.watchFor(LeaveWatch.watch(exchange, () -> left(number)));
         events.accept(new GateEvent.CallArrived(number, description));
     }
 
-    /** Notes which request a connection carries now. A connection gets one listener, however many requests it carries. */
-    private void watch(ServerConnection connection, long number) {
-        AtomicLong current = connection.getAttachment(CURRENT_CALL);
-        if (current == null) {
-            AtomicLong first = new AtomicLong(number);
-            connection.putAttachment(CURRENT_CALL, first);
-            open.put(connection, first);
-            connection.addCloseListener(closed -> {
-                open.remove(closed);
-                left(first.get());
-            });
-        } else {
-            current.set(number);
-        }
-    }
-
     /** Closes the connections that carry no request now. */
     void closeIdle() {
-        open.forEach((connection, current) -> connection.getIoThread().execute(() -> {
-            if (!calls.containsKey(current.get())) {
-                IoUtils.safeClose(connection);
-            }
-        }));
+        open.closeIdle();
     }
 
     private void end(long number) {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -36,6 +36,8 @@
     /** The platform asks every second and needs two misses; one second more lets callers' connections arrive. */
     private static final Duration ACCEPTING_WHILE_STOPPING = Duration.ofMillis(2700);
 
+    private static final Duration CLOSE_IDLE_EVERY = Duration.ofMillis(100);
+
     private static final int BUFFER_BYTES = 16 * 1024;
 
     private final GatewaySettings settings;
@@ -143,7 +145,7 @@
         entrance.stopAccepting();
         callers.closeIdle();
         if (!early) {
-            awaitDrained(settings.limits().drainAtMost().minus(ACCEPTING_WHILE_STOPPING));
+            closeConnectionsAsTheyFallIdle(settings.limits().drainAtMost().minus(ACCEPTING_WHILE_STOPPING));
         }
         stopTelling.run();
         entrance.stop();
@@ -155,6 +157,14 @@
         log.info("stopped", LogField.of("node", settings.node()));
     }
 
+    /** An answer whose head was sent before the stop could not tell its caller to leave the connection. */
+    private void closeConnectionsAsTheyFallIdle(Duration patience) {
+        long turns = patience.dividedBy(CLOSE_IDLE_EVERY);
+        for (long turn = 0; turn < turns && !awaitDrained(CLOSE_IDLE_EVERY); turn++) {
+            callers.closeIdle();
+        }
+    }
+
     private boolean awaitDrained(Duration patience) {
         try {
             return drained.await(patience.toMillis(), TimeUnit.MILLISECONDS);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/LeaveWatch.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/LeaveWatch.java
@@ -18,6 +18,7 @@
     private final HttpServerConnection connection;
     private final StreamSourceConduit source;
     private final Runnable left;
+    private boolean over;
 
     private LeaveWatch(HttpServerConnection connection, Runnable left) {
         this.connection = connection;
@@ -30,8 +31,10 @@
      *
      * @param exchange the request
      * @param left is run when the connection is closed
+     * @return a check to be made on the connection's thread before work is done for the caller: it notices a close that
+     *     has arrived already but that the selector has not come to
      */
-    static void watch(HttpServerExchange exchange, Runnable left) {
+    static Runnable watch(HttpServerExchange exchange, Runnable left) {
         if (exchange.getConnection() instanceof HttpServerConnection http && http.getExtraBytes() == null) {
             LeaveWatch watch = new LeaveWatch(http, left);
             watch.source.setReadReadyHandler(watch);
@@ -40,10 +43,19 @@
                 watch.giveBack();
                 next.proceed();
             });
+            return watch::check;
+        }
+        return () -> {};
+    }
+
+    private void check() {
+        if (!over) {
+            readReady();
         }
     }
 
     private void leave() {
+        over = true;
         source.suspendReads();
         left.run();
         // The selector lets closed connections go with its next turn, and an idle thread takes none by itself.
@@ -51,6 +63,7 @@
     }
 
     private void giveBack() {
+        over = true;
         source.suspendReads();
         source.setReadReadyHandler(
                 new ChannelListenerHandler<>(connection.getChannel().getSourceChannel()));
@@ -67,6 +80,7 @@
                 leave();
             } else if (count > 0) {
                 // The caller sends its next request early: it is kept for then, and the watch ends.
+                over = true;
                 source.suspendReads();
                 buffer.flip();
                 connection.ungetRequestBytes(pooled);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -80,13 +80,13 @@
             TransportClose.close(opened);
             return;
         }
-        connection = opened;
         Optional<ClientRequest> ready = message.get();
         if (ready.isPresent()) {
+            connection = opened;
             connection.sendRequest(ready.get(), callback(this::sent, this::lost));
         } else {
-            connections.keep(upstream, connection, KEEP_ALIVE_UNSAID);
-            end(new AttemptResult.NotConnected(), "no time was left");
+            connections.keep(upstream, opened, KEEP_ALIVE_UNSAID);
+            end(new AttemptResult.NotConnected(), "the caller has left or no time was left");
         }
     }
 
