--- a/gate-core/src/main/java/org/sassafrastrail/gate/GateAction.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateAction.java
@@ -17,9 +17,16 @@
      * @param timeLeft how long the upstream may work on it
      * @param waited how long the request had been here
      * @param promptTokensAhead the tokens that the upstream is believed to read before the request
+     * @param tokensToRead the request's own tokens that the upstream is believed not to have cached
      */
     record Dispatch(
-            long call, int attempt, Upstream upstream, Duration timeLeft, Duration waited, long promptTokensAhead)
+            long call,
+            int attempt,
+            Upstream upstream,
+            Duration timeLeft,
+            Duration waited,
+            long promptTokensAhead,
+            long tokensToRead)
             implements GateAction {}
 
     /**
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -110,7 +110,8 @@
                 place.candidate().upstream().upstream(),
                 Duration.between(now, call.description().giveUpAt()),
                 Duration.between(call.description().arrivedAt(), now),
-                place.candidate().tokensAhead());
+                place.candidate().tokensAhead(),
+                place.tokensToRead());
         return Transition.<GateState, GateAction>stay(
                         charged.with(sent).with(place.candidate().upstream().sent(attempt, now)))
                 .then(action);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallLog.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallLog.java
@@ -48,16 +48,23 @@
 
     @Override
     public void finished(FinishedCall call) {
-        metrics.time("answer." + call.description().route().name(), call.took().toNanos());
+        String route = call.description().route().name();
+        metrics.time("answer." + route, call.took().toNanos());
+        call.firstAfter().ifPresent(first -> metrics.time("first-event." + route, first.toNanos()));
         log.info(
                 "answered",
                 LogField.of("request", call.description().request()),
-                LogField.of("route", call.description().route().name()),
+                LogField.of("route", route),
                 LogField.of(
                         "account",
                         call.description().account().map(Object::toString).orElse(NONE)),
                 LogField.of("status", call.status()),
                 LogField.of("ending", call.ending()),
+                LogField.of(
+                        "first-ms",
+                        call.firstAfter()
+                                .map(first -> Long.toString(first.toMillis()))
+                                .orElse(NONE)),
                 LogField.of("took-ms", call.took().toMillis()));
     }
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -55,6 +55,7 @@
     private boolean closed;
     private Ending ending = Ending.ANSWERED;
     private Runnable leaveCheck = () -> {};
+    private Optional<Duration> firstAfter = Optional.empty();
 
     CallerExchange(
             HttpServerExchange exchange,
@@ -92,6 +93,11 @@
         return body.length;
     }
 
+    /** How long after the request's arrival an upstream first began to answer. */
+    Optional<Duration> firstAfter() {
+        return firstAfter;
+    }
+
     Ending ending() {
         return ending;
     }
@@ -158,6 +164,9 @@
     @Override
     public void answers(UpstreamHead answer) {
         head = answer;
+        if (firstAfter.isEmpty()) {
+            firstAfter = Optional.of(Duration.between(description.arrivedAt(), clock.instant()));
+        }
         boolean small = answer.length().isPresent() && answer.length().getAsLong() <= LARGEST_GATHERED_BYTES;
         boolean failed = answer.kind() == AnswerKind.FAILED;
         boolean plain =
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -152,7 +152,8 @@
             call.closed();
             bodyBytes.addAndGet(-call.bodyBytes());
             Duration took = Duration.between(call.description().arrivedAt(), clock.instant());
-            recorder.finished(new FinishedCall(number, call.description(), call.status(), call.ending(), took));
+            recorder.finished(
+                    new FinishedCall(call.description(), call.status(), call.ending(), call.firstAfter(), took));
         }
     }
 
--- a/gateway/src/main/java/org/sassafrastrail/gateway/FinishedCall.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/FinishedCall.java
@@ -1,16 +1,18 @@
 package org.sassafrastrail.gateway;
 
 import java.time.Duration;
+import java.util.Optional;
 
 import org.sassafrastrail.gate.CallDescription;
 
 /**
  * A request whose exchange with the caller is over.
  *
- * @param number the gateway's number for it
  * @param description what it asked for
  * @param status the status that the caller got
  * @param ending how the exchange ended
+ * @param firstAfter how long after its arrival an upstream began to answer, empty if none did
  * @param took how long it was here
  */
-record FinishedCall(long number, CallDescription description, int status, Ending ending, Duration took) {}
+record FinishedCall(
+        CallDescription description, int status, Ending ending, Optional<Duration> firstAfter, Duration took) {}
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GateActions.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GateActions.java
@@ -82,7 +82,8 @@
                 LogField.of("upstream", dispatch.upstream().identifier()),
                 LogField.of("waited-ms", dispatch.waited().toMillis()),
                 LogField.of("left-ms", dispatch.timeLeft().toMillis()),
-                LogField.of("tokens-ahead", dispatch.promptTokensAhead()));
+                LogField.of("tokens-ahead", dispatch.promptTokensAhead()),
+                LogField.of("tokens-to-read", dispatch.tokensToRead()));
         on(dispatch.call(), call -> call.dispatch(dispatch));
     }
 
