--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
@@ -37,8 +37,8 @@
         Double quotaWindowSeconds,
         String logLevel) {
 
-    private static final double READ_TOKENS_PER_MILLISECOND = 112;
-    private static final double MOST_WAIT_SHARE_OF_AIM = 0.5;
+    private static final double READ_TOKENS_PER_MILLISECOND = 80;
+    private static final double MOST_WAIT_SHARE_OF_AIM = 0.25;
     private static final double MOST_HELD_SHARE_OF_AIM = 0.4;
     private static final Duration COME_BACK_AFTER = Duration.ofMillis(300);
 
