Pass over requests whose engine is full, and leave room for accounts that got less at other gateways

Gateways now tell each other whose turn it is, and a request of an account that got clearly more than that one may use 0.4 of the room only. Besides, a request whose engine was full held up all behind it, though other engines had room.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/BeliefHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/BeliefHandler.java
@@ -78,8 +78,9 @@
 
     Transition<GateState, GateAction> peerReported(GateState state, GateEvent.PeerReported event, Instant now) {
         return scheduler.sendAll(
-                state.with(state.peers().reported(event.peer(), event.loads()))
-                        .with(state.usage().reported(event.peer(), event.usage(), now)),
+                state.with(state.peers().reported(event.peer(), event.report()))
+                        .with(state.usage()
+                                .reported(event.peer(), event.report().usage(), now)),
                 now);
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GateAction.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateAction.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 
-import org.pcollections.PMap;
 import org.sassafrastrail.model.RefusalReason;
 
 /** What a gateway's decision asks to be carried out. */
@@ -78,13 +77,11 @@
     record InForce(long version) implements GateAction {}
 
     /**
-     * Tell the other gateways what this one has at upstreams.
+     * Tell the other gateways of this one.
      *
-     * @param loads its load, by upstream
-     * @param usage the tokens that each client account got here lately
+     * @param report what to say
      */
-    record TellPeers(PMap<UpstreamIdentifier, UpstreamLoadElsewhere> loads, PMap<String, Long> usage)
-            implements GateAction {}
+    record TellPeers(GatewayReport report) implements GateAction {}
 
     /** All requests have their answers and no new ones are expected: the process may end. */
     record Drained() implements GateAction {}
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GateEvent.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateEvent.java
@@ -75,14 +75,12 @@
     record PeerLinked(String peer) implements GateEvent {}
 
     /**
-     * Another gateway said what it has at upstreams.
+     * Another gateway told of itself.
      *
      * @param peer its name
-     * @param loads its load, by upstream; replaces what it said before
-     * @param usage the tokens that each client account got there lately; replaces what it said before
+     * @param report what it said; replaces what it said before
      */
-    record PeerReported(String peer, PMap<UpstreamIdentifier, UpstreamLoadElsewhere> loads, PMap<String, Long> usage)
-            implements GateEvent {}
+    record PeerReported(String peer, GatewayReport report) implements GateEvent {}
 
     /**
      * The link to another gateway is down.
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GateLimits.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateLimits.java
@@ -7,6 +7,8 @@
  *
  * @param readTokensPerMillisecond how fast an engine reads prompts
  * @param mostWaitShareOfAim how much of its aim a request may spend, at the estimate, behind other prompts at an engine
+ * @param laterTurnShare the share of that wait open to requests while an account that got less waits at some gateway
+ * @param turnsLookedAt how many waiting requests are looked at for one that an upstream has room for
  * @param mostHeldShareOfAim how much of its aim a request may wait here before it is refused
  * @param comeBackAfter what refused callers are told to wait
  * @param repeatShare how many repeats a target may get in the window, as a share of its requests, over the fleet
@@ -22,6 +24,8 @@
 public record GateLimits(
         double readTokensPerMillisecond,
         double mostWaitShareOfAim,
+        double laterTurnShare,
+        int turnsLookedAt,
         double mostHeldShareOfAim,
         Duration comeBackAfter,
         double repeatShare,
--- a/gate-core/src/main/java/org/sassafrastrail/gate/LeastRunningPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/LeastRunningPlacement.java
@@ -11,10 +11,10 @@
     private static final int QUEUE_FACTOR = 2;
 
     @Override
-    public Optional<Place> place(Call call, Stream<Candidate> candidates, double unheard) {
+    public Optional<Place> place(Call call, Stream<Candidate> candidates, Room room) {
         return candidates
                 .filter(candidate -> candidate.running() == 0
-                        || candidate.running() * unheard
+                        || candidate.running() * room.unheard()
                                 < QUEUE_FACTOR * candidate.upstream().upstream().places())
                 .min(Comparator.comparingInt(Candidate::running)
                         .thenComparingLong(candidate -> Mixing.mix(
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Mixing.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Mixing.java
@@ -12,6 +12,15 @@
     /** Hashes a text (FNV-1a), and mixes the high bits into the low ones. */
     static long mix(String text) {
         long hash = text.chars().asLongStream().reduce(OFFSET, (sofar, character) -> (sofar ^ character) * PRIME);
+        return fold(hash);
+    }
+
+    /** Mixes two hashes into one. */
+    static long mix(long one, long other) {
+        return fold(fold(one) ^ other);
+    }
+
+    private static long fold(long hash) {
         long folded = (hash ^ (hash >>> HALF)) * PRIME;
         return folded ^ (folded >>> HALF);
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
@@ -2,25 +2,24 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
+import java.util.stream.Stream;
 
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
+import org.sassafrastrail.model.TargetName;
 
 /**
  * The other gateways.
  *
  * @param registered how many gateways are registered, this one included
- * @param reports what each linked gateway has at upstreams
+ * @param reports what each linked gateway said last
  * @param told what this gateway last told the others
  * @param lastTold when it did
  */
-record Peers(
-        int registered,
-        PMap<String, PMap<UpstreamIdentifier, UpstreamLoadElsewhere>> reports,
-        PMap<UpstreamIdentifier, UpstreamLoadElsewhere> told,
-        Instant lastTold) {
+record Peers(int registered, PMap<String, GatewayReport> reports, GatewayReport told, Instant lastTold) {
 
-    static final Peers NONE = new Peers(1, HashTreePMap.empty(), HashTreePMap.empty(), Instant.MIN);
+    static final Peers NONE = new Peers(1, HashTreePMap.empty(), GatewayReport.EMPTY, Instant.MIN);
 
     Peers counted(int gateways) {
         return new Peers(Math.max(1, gateways), reports, told, lastTold);
@@ -28,27 +27,27 @@
 
     /** A gateway that is new here has heard nothing yet, so what was told counts as untold. */
     Peers linked(String peer) {
-        Peers untold = new Peers(registered, reports, HashTreePMap.empty(), Instant.MIN);
-        return reports.containsKey(peer) ? untold : untold.reported(peer, HashTreePMap.empty());
+        Peers untold = new Peers(registered, reports, GatewayReport.EMPTY, Instant.MIN);
+        return reports.containsKey(peer) ? untold : untold.reported(peer, GatewayReport.EMPTY);
     }
 
-    Peers reported(String peer, PMap<UpstreamIdentifier, UpstreamLoadElsewhere> loads) {
-        return new Peers(registered, reports.plus(peer, loads), told, lastTold);
+    Peers reported(String peer, GatewayReport report) {
+        return new Peers(registered, reports.plus(peer, report), told, lastTold);
     }
 
     Peers lost(String peer) {
         return new Peers(registered, reports.minus(peer), told, lastTold);
     }
 
-    Peers told(PMap<UpstreamIdentifier, UpstreamLoadElsewhere> loads, Instant now) {
-        return new Peers(registered, reports, loads, now);
+    Peers told(GatewayReport report, Instant now) {
+        return new Peers(registered, reports, report, now);
     }
 
-    /** Tells whether the others need to hear of the loads: they changed, and the last telling is an interval ago. */
-    boolean tellingIsDue(PMap<UpstreamIdentifier, UpstreamLoadElsewhere> loads, Instant now, Duration interval) {
+    /** Tells whether the others need to hear of this gateway: something changed, and the last telling is an interval ago. */
+    boolean tellingIsDue(GatewayReport report, Instant now, Duration interval) {
         boolean rested =
                 lastTold.equals(Instant.MIN) || Duration.between(lastTold, now).compareTo(interval) >= 0;
-        return rested && !loads.equals(told);
+        return rested && !report.saysTheSameAs(told);
     }
 
     /** How many gateways share the upstreams. */
@@ -63,7 +62,13 @@
 
     UpstreamLoadElsewhere load(UpstreamIdentifier upstream) {
         return reports.values().stream()
-                .map(loads -> loads.getOrDefault(upstream, UpstreamLoadElsewhere.NONE))
+                .map(report -> report.loads().getOrDefault(upstream, UpstreamLoadElsewhere.NONE))
                 .reduce(UpstreamLoadElsewhere.NONE, UpstreamLoadElsewhere::plus);
     }
+
+    /** The accounts whose turn it is at the other gateways. */
+    Stream<String> turns(TargetName target) {
+        return reports.values().stream()
+                .flatMap(report -> Optional.ofNullable(report.turns().get(target)).stream());
+    }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
@@ -35,13 +35,21 @@
         }
     }
 
+    /**
+     * How much of the upstreams' room a request may take.
+     *
+     * @param unheard by how much the load that is known has to be taken, because not all gateways are heard from
+     * @param share the share of the wait at upstreams that it may use up, 1 for all
+     */
+    record Room(double unheard, double share) {}
+
     /**
      * Chooses a place.
      *
      * @param call the request
      * @param candidates the upstreams that may get it
-     * @param unheard by how much the load that is known has to be taken, because not all gateways are heard from
+     * @param room how much of the upstreams' room the request may take
      * @return the place, or empty if the request had better wait here
      */
-    Optional<Place> place(Call call, Stream<Candidate> candidates, double unheard);
+    Optional<Place> place(Call call, Stream<Candidate> candidates, Room room);
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/PromptPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/PromptPlacement.java
@@ -31,22 +31,23 @@
     private record Hashed(Candidate candidate, long hash) {}
 
     @Override
-    public Optional<Place> place(Call call, Stream<Candidate> candidates, double unheard) {
+    public Optional<Place> place(Call call, Stream<Candidate> candidates, Room room) {
         Prompt prompt = call.description().prompt();
         List<Candidate> ranked = ranked(prompt, candidates);
         return IntStream.range(0, ranked.size())
                 .mapToObj(rank -> weigh(prompt, ranked.get(rank), rank))
                 .min(Comparator.comparingDouble(Weighed::weight))
                 .map(Weighed::place)
-                .filter(place -> admits(place, call, unheard));
+                .filter(place -> admits(place, call, room));
     }
 
     /** Orders the upstreams by a hash that every gateway computes alike. */
     private static List<Candidate> ranked(Prompt prompt, Stream<Candidate> candidates) {
-        String session = prompt.session().map(PromptPart::identifier).orElse("");
+        long session = Mixing.mix(prompt.session().map(PromptPart::identifier).orElse(""));
         return candidates
-                .map(candidate ->
-                        new Hashed(candidate, Mixing.mix(candidate.identifier().value() + "/" + session)))
+                .map(candidate -> new Hashed(
+                        candidate,
+                        Mixing.mix(session, Mixing.mix(candidate.identifier().value()))))
                 .sorted(Comparator.comparingLong(Hashed::hash))
                 .map(Hashed::candidate)
                 .toList();
@@ -61,12 +62,12 @@
     }
 
     /** An idle engine takes any prompt; a busy one takes more only while the wait behind them fits into the aim. */
-    private boolean admits(Place place, Call call, double unheard) {
+    private boolean admits(Place place, Call call, Room room) {
         double aim = call.description().route().aim().toMillis() * limits.mostWaitShareOfAim();
-        double allowed = aim * limits.readTokensPerMillisecond();
+        double allowed = aim * limits.readTokensPerMillisecond() * room.share();
         Candidate candidate = place.candidate();
         int places = candidate.upstream().upstream().places();
-        return candidate.running() * unheard < places
-                && (candidate.tokensAhead() == 0 || candidate.tokensAhead() * unheard < allowed);
+        return candidate.running() * room.unheard() < places
+                && (candidate.tokensAhead() == 0 || candidate.tokensAhead() * room.unheard() < allowed);
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Comparator;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -12,7 +11,7 @@
 /** Sends waiting requests to upstreams that may take them, the account that got least first. */
 final class Scheduler {
 
-    private static final String NO_ACCOUNT = "";
+    private static final double WHOLE = 1;
 
     private final GateLimits limits;
     private final Placement prompts;
@@ -32,46 +31,45 @@
 
     /**
      * Sends what can be sent of one target. Requests that are tried again go first and hold up nobody, because they may
-     * have tried all upstreams. Of the fresh ones, one that finds no place holds up those behind it.
+     * have tried all upstreams. Of the fresh ones, a few that find no place are passed over, because they may wait for
+     * one upstream only.
      */
     Transition<GateState, GateAction> send(GateState state, TargetName target, Instant now) {
-        Optional<Transition<GateState, GateAction>> repeated = waiting(state, target)
-                .filter(call -> call.attempts() > 0)
-                .flatMap(call -> dispatch(state, call, now).stream())
+        Optional<Transition<GateState, GateAction>> repeated = state.waitingCalls()
+                .filter(call -> call.attempts() > 0 && call.target().equals(target))
+                .flatMap(call -> dispatch(state, call, WHOLE, now).stream())
                 .findFirst();
-        return repeated.or(() -> next(state, target, now).flatMap(call -> dispatch(state, call, now)))
+        return repeated.or(() -> fresh(state, target, now))
                 .map(sent -> sent.and(next -> send(next, target, now)))
                 .orElseGet(() -> Transition.stay(state));
     }
 
-    private static Stream<Call> waiting(GateState state, TargetName target) {
-        return state.waitingCalls().filter(call -> call.target().equals(target));
+    private Optional<Transition<GateState, GateAction>> fresh(GateState state, TargetName target, Instant now) {
+        Turns turns = Turns.of(state, target, now);
+        return turns.inOrder()
+                .limit(limits.turnsLookedAt())
+                .flatMap(turn -> dispatch(state, turn.call(), share(turns, turn), now).stream())
+                .findFirst();
     }
 
-    /** The fresh request of the account that got least, and of its requests the oldest. */
-    private static Optional<Call> next(GateState state, TargetName target, Instant now) {
-        return waiting(state, target)
-                .filter(call -> call.attempts() == 0)
-                .map(call -> new Turn(call, state.usage().tokens(account(call), now)))
-                .min(Comparator.comparingDouble(Turn::used)
-                        .thenComparing(turn -> turn.call().waitingSince()))
-                .map(Turn::call);
+    /** While an account that got less waits anywhere, the others leave it room. */
+    private double share(Turns turns, Turns.Turn turn) {
+        return turns.othersComeFirst(turn) ? limits.laterTurnShare() : WHOLE;
     }
 
-    /** A waiting request and what its account got lately. */
-    private record Turn(Call call, double used) {}
-
-    private Optional<Transition<GateState, GateAction>> dispatch(GateState state, Call call, Instant now) {
-        return place(state, call, now).map(place -> dispatch(state, call, place, now));
+    private Optional<Transition<GateState, GateAction>> dispatch(
+            GateState state, Call call, double share, Instant now) {
+        return place(state, call, share, now).map(place -> dispatch(state, call, place, now));
     }
 
-    private Optional<Placement.Place> place(GateState state, Call call, Instant now) {
+    private Optional<Placement.Place> place(GateState state, Call call, double share, Instant now) {
         Stream<Placement.Candidate> candidates = state.upstreams().values().stream()
                 .filter(upstream -> mayGet(state, upstream, call, now))
                 .map(upstream -> new Placement.Candidate(
                         upstream, state.peers().load(upstream.upstream().identifier())));
         Placement placement = call.description().route().prompted() ? prompts : plain;
-        return placement.place(call, candidates, state.peers().unheard());
+        return placement.place(
+                call, candidates, new Placement.Room(state.peers().unheard(), share));
     }
 
     private boolean mayGet(GateState state, UpstreamState upstream, Call call, Instant now) {
@@ -102,7 +100,8 @@
         Call sent = call.sentTo(attempt);
         GateState charged = call.attempts() == 0
                 ? state.with(state.usage()
-                        .charged(account(call), call.description().prompt().cost(), now))
+                        .charged(
+                                Turns.account(call), call.description().prompt().cost(), now))
                 : state.with(call.target(), state.budget(call.target()).repeat(now));
         GateAction action = new GateAction.Dispatch(
                 call.number(),
@@ -116,8 +115,4 @@
                         charged.with(sent).with(place.candidate().upstream().sent(attempt, now)))
                 .then(action);
     }
-
-    private static String account(Call call) {
-        return call.description().account().map(Object::toString).orElse(NO_ACCOUNT);
-    }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TimeHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TimeHandler.java
@@ -31,17 +31,21 @@
     }
 
     private Transition<GateState, GateAction> tellPeers(GateState state, Instant now) {
+        GatewayReport report = report(state, now);
+        return state.peers().tellingIsDue(report, now, limits.tellPeersEvery())
+                ? Transition.<GateState, GateAction>stay(
+                                state.with(state.peers().told(report, now)))
+                        .then(new GateAction.TellPeers(report))
+                : Transition.stay(state);
+    }
+
+    private static GatewayReport report(GateState state, Instant now) {
         PMap<UpstreamIdentifier, UpstreamLoadElsewhere> loads = HashTreePMap.from(state.upstreams().values().stream()
                 .filter(upstream -> upstream.running() > 0)
                 .collect(Collectors.toMap(
                         upstream -> upstream.upstream().identifier(),
                         upstream -> new UpstreamLoadElsewhere(upstream.running(), upstream.tokensAhead()))));
-        return state.peers().tellingIsDue(loads, now, limits.tellPeersEvery())
-                ? Transition.<GateState, GateAction>stay(
-                                state.with(state.peers().told(loads, now)))
-                        .then(new GateAction.TellPeers(
-                                loads, state.usage().here().now(now)))
-                : Transition.stay(state);
+        return new GatewayReport(loads, state.usage().here().now(now), Turns.byTarget(state, now));
     }
 
     private Transition<GateState, GateAction> comeBack(GateState state, Instant now) {
--- a/gate-core/src/test/java/org/sassafrastrail/gate/Gate.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/Gate.java
@@ -25,6 +25,8 @@
             100,
             0.5,
             0.4,
+            8,
+            0.4,
             Duration.ofMillis(300),
             0.2,
             5,
@@ -138,9 +140,11 @@
     List<GateAction> elsewhere(String peer, String upstream, int running, long tokensToRead) {
         return handle(new GateEvent.PeerReported(
                 peer,
-                HashTreePMap.singleton(
-                        new UpstreamIdentifier(upstream), new UpstreamLoadElsewhere(running, tokensToRead)),
-                HashTreePMap.empty()));
+                new GatewayReport(
+                        HashTreePMap.singleton(
+                                new UpstreamIdentifier(upstream), new UpstreamLoadElsewhere(running, tokensToRead)),
+                        HashTreePMap.empty(),
+                        HashTreePMap.empty())));
     }
 
     List<GateAction> register(Upstream... upstreams) {
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GateCoreTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GateCoreTest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 
@@ -80,7 +81,9 @@
         gate.arrive(1, TELL, prompt, "here");
         gate.arrive(2, TELL, prompt, "here");
         gate.handle(new GateEvent.PeerReported(
-                "peer", HashTreePMap.empty(), HashTreePMap.singleton("elsewhere", 900_000L)));
+                "peer",
+                new GatewayReport(
+                        HashTreePMap.empty(), HashTreePMap.singleton("elsewhere", 900_000L), HashTreePMap.empty())));
         gate.arrive(3, TELL, prompt, "elsewhere");
         gate.arrive(4, TELL, prompt, "here");
         List<GateAction> actions = gate.handle(new GateEvent.AnswerBegan(1, 1));
@@ -88,6 +91,66 @@
                 .isEqualTo(4);
     }
 
+    @Test
+    void whileAnAccountThatGotLessWaitsAtAnotherGatewayTheOthersLeaveItRoom() {
+        gate.register(Gate.upstream("one", Gate.MODEL));
+        gate.handle(new GateEvent.PeerLinked("peer"));
+        Prompt prompt = Gate.prompt("session", 3000, 25_000);
+        gate.arrive(1, TELL, prompt, "greedy");
+        turnElsewhere("modest", 0);
+        assertThat(gate.arrive(2, TELL, prompt, "greedy")).isEmpty();
+        assertThat(Gate.sentTo(gate.arrive(3, TELL, prompt, "new"))).isPresent();
+        gate.handle(new GateEvent.AnswerBegan(3, 1));
+        assertThat(Gate.sentTo(turnElsewhere("greedier", 900_000))).isPresent();
+    }
+
+    private List<GateAction> turnElsewhere(String account, long used) {
+        return gate.handle(new GateEvent.PeerReported(
+                "peer",
+                new GatewayReport(
+                        HashTreePMap.empty(),
+                        HashTreePMap.singleton(account, used),
+                        HashTreePMap.singleton(Gate.MODEL, account))));
+    }
+
+    @Test
+    void theOthersHearWhoseTurnItIsHere() {
+        gate.register(Gate.upstream("one", Gate.MODEL));
+        Prompt prompt = Gate.prompt("session", 3000, 60_000);
+        gate.arrive(1, TELL, prompt, "got");
+        gate.arrive(2, TELL, prompt, "got");
+        gate.arrive(3, TELL, prompt, "waits");
+        assertThat(gate.told(Duration.ofMillis(100)).orElseThrow().report().turns())
+                .containsExactly(Map.entry(Gate.MODEL, "waits"));
+    }
+
+    @Test
+    void aRequestWhoseEngineIsFullDoesNotHoldUpOneForAnother() {
+        gate.register(Gate.upstream("one", Gate.MODEL), Gate.upstream("two", Gate.MODEL));
+        gate.elsewhere("a", "one", 1, 60_000);
+        gate.elsewhere("b", "two", 1, 60_000);
+        Map<String, String> homes = Map.of("one", sessionOf("one"), "two", sessionOf("two"));
+        gate.arrive(101, TELL, Gate.prompt(homes.get("one"), 30_000, 31_000), "account");
+        gate.arrive(102, TELL, Gate.prompt(homes.get("two"), 30_000, 31_000), "account");
+        assertThat(Gate.sentTo(gate.elsewhere("b", "two", 1, 0))).contains("two");
+    }
+
+    /** A session that has the upstream for its first. */
+    private String sessionOf(String upstream) {
+        return IntStream.range(0, 100)
+                .mapToObj(number -> "session-" + number)
+                .filter(session -> home(session).equals(upstream))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static String home(String session) {
+        Gate idle = new Gate();
+        idle.register(Gate.upstream("one", Gate.MODEL), Gate.upstream("two", Gate.MODEL));
+        return Gate.sentTo(idle.arrive(1, TELL, Gate.prompt(session, 3000, 3500), "account"))
+                .orElseThrow();
+    }
+
     @Test
     void anUpstreamThatLeavesOrIsGoneOrInADomainOutGetsNothing() {
         gate.register(Gate.leaving(Gate.upstream("one", Gate.DESK)));
@@ -238,10 +301,12 @@
         gate.handle(new GateEvent.PeerLinked("peer"));
         assertThat(gate.told(Duration.ofMillis(100))).isEmpty();
         gate.arrive(1, BOOK);
-        assertThat(gate.told(Duration.ofMillis(100)).orElseThrow().loads()).hasSize(1);
+        assertThat(gate.told(Duration.ofMillis(100)).orElseThrow().report().loads())
+                .hasSize(1);
         assertThat(gate.told(Duration.ofMillis(100))).isEmpty();
         gate.end(1, 1, new AttemptResult.Delivered());
-        assertThat(gate.told(Duration.ofMillis(100)).orElseThrow().loads()).isEmpty();
+        assertThat(gate.told(Duration.ofMillis(100)).orElseThrow().report().loads())
+                .isEmpty();
     }
 
     @Test
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GateActions.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GateActions.java
@@ -6,6 +6,8 @@
 
 import io.undertow.util.StatusCodes;
 import org.sassafrastrail.gate.GateAction;
+import org.sassafrastrail.gate.GatewayReport;
+import org.sassafrastrail.messages.AccountTurn;
 import org.sassafrastrail.messages.AccountUse;
 import org.sassafrastrail.messages.LoadReport;
 import org.sassafrastrail.messages.UpstreamLoad;
@@ -52,23 +54,26 @@
         } else if (action instanceof GateAction.InForce inForce) {
             log.info("configuration-in-force", LogField.of("version", inForce.version()));
         } else if (action instanceof GateAction.TellPeers tell) {
-            peers.accept(report(tell));
+            peers.accept(report(tell.report()));
         } else if (action instanceof GateAction.Drained) {
             drained.run();
         }
     }
 
-    private static LoadReport report(GateAction.TellPeers tell) {
-        List<UpstreamLoad> loads = tell.loads().entrySet().stream()
+    private static LoadReport report(GatewayReport own) {
+        List<UpstreamLoad> loads = own.loads().entrySet().stream()
                 .map(load -> new UpstreamLoad(
                         load.getKey().value(),
                         load.getValue().running(),
                         load.getValue().tokensToRead()))
                 .toList();
-        List<AccountUse> accounts = tell.usage().entrySet().stream()
+        List<AccountUse> accounts = own.usage().entrySet().stream()
                 .map(use -> new AccountUse(use.getKey(), use.getValue()))
                 .toList();
-        return new LoadReport(loads, accounts);
+        List<AccountTurn> turns = own.turns().entrySet().stream()
+                .map(turn -> new AccountTurn(turn.getKey().value(), turn.getValue()))
+                .toList();
+        return new LoadReport(loads, accounts, turns);
     }
 
     private void dispatch(GateAction.Dispatch dispatch) {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -13,8 +13,10 @@
 import org.sassafrastrail.durable.FeedRow;
 import org.sassafrastrail.durable.FollowedTable;
 import org.sassafrastrail.gate.GateEvent;
+import org.sassafrastrail.gate.GatewayReport;
 import org.sassafrastrail.gate.UpstreamIdentifier;
 import org.sassafrastrail.gate.UpstreamLoadElsewhere;
+import org.sassafrastrail.messages.AccountTurn;
 import org.sassafrastrail.messages.AccountUse;
 import org.sassafrastrail.messages.CopiedRow;
 import org.sassafrastrail.messages.CopyRequest;
@@ -24,6 +26,7 @@
 import org.sassafrastrail.messages.TableCopy;
 import org.sassafrastrail.model.Incarnation;
 import org.sassafrastrail.model.NodeName;
+import org.sassafrastrail.model.TargetName;
 import org.sassafrastrail.runtime.EventLog;
 import org.sassafrastrail.runtime.LogField;
 import org.sassafrastrail.runtime.Metrics;
@@ -139,14 +142,7 @@
     @Override
     public void received(Link link, Message message) {
         if (message instanceof LoadReport report) {
-            events.accept(new GateEvent.PeerReported(
-                    link.peer().node().value(),
-                    HashTreePMap.from(report.loads().stream()
-                            .collect(Collectors.toMap(
-                                    load -> new UpstreamIdentifier(load.upstream()),
-                                    load -> new UpstreamLoadElsewhere(load.running(), load.tokensToRead())))),
-                    HashTreePMap.from(report.accounts().stream()
-                            .collect(Collectors.toMap(AccountUse::account, AccountUse::tokens)))));
+            events.accept(new GateEvent.PeerReported(link.peer().node().value(), read(report)));
         } else if (message instanceof CopyRequest request) {
             Optional.ofNullable(tables.get(request.table()))
                     .map(FollowedTable::copy)
@@ -157,6 +153,18 @@
         }
     }
 
+    private static GatewayReport read(LoadReport report) {
+        return new GatewayReport(
+                HashTreePMap.from(report.loads().stream()
+                        .collect(Collectors.toMap(
+                                load -> new UpstreamIdentifier(load.upstream()),
+                                load -> new UpstreamLoadElsewhere(load.running(), load.tokensToRead())))),
+                HashTreePMap.from(
+                        report.accounts().stream().collect(Collectors.toMap(AccountUse::account, AccountUse::tokens))),
+                HashTreePMap.from(report.turns().stream()
+                        .collect(Collectors.toMap(turn -> new TargetName(turn.target()), AccountTurn::account))));
+    }
+
     private static TableCopy copy(String table, FollowedTable.Copy copy) {
         return new TableCopy(
                 table,
--- a/messages/src/main/java/org/sassafrastrail/messages/LoadReport.java
+++ b/messages/src/main/java/org/sassafrastrail/messages/LoadReport.java
@@ -7,5 +7,7 @@
  *
  * @param loads the upstreams at which it has anything
  * @param accounts what client accounts got there lately
+ * @param turns whose turn it is there, for each target that is waited for
  */
-public record LoadReport(List<UpstreamLoad> loads, List<AccountUse> accounts) implements Message {}
+public record LoadReport(List<UpstreamLoad> loads, List<AccountUse> accounts, List<AccountTurn> turns)
+        implements Message {}
