Schedule with less processor time: candidates once a pass, only the new request on an arrival

Each event sorted all waiting requests, and looked the load up in every peer's report for 8 x 13 candidates. Now the reports are summed when they come, candidates are worked out once a pass, an arrival tries only itself, and a pass ends at once if no upstream has room. The tests of placement and turns hold the behaviour.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
@@ -23,7 +23,7 @@
         Call call = Call.arrived(event.call(), description, target.target(), now);
         GateState counted =
                 state.with(target.target(), state.budget(target.target()).request(now));
-        return scheduler.send(counted.with(call), target.target(), now);
+        return scheduler.sendArrived(counted.with(call), call, now);
     }
 
     Transition<GateState, GateAction> left(GateState state, GateEvent.CallerLeft event, Instant now) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/LeastRunningPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/LeastRunningPlacement.java
@@ -1,8 +1,8 @@
 package org.sassafrastrail.gate;
 
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
-import java.util.stream.Stream;
 
 /** Places plain requests where the fewest run, as long as the upstream's places and a short queue are not full. */
 final class LeastRunningPlacement implements Placement {
@@ -11,8 +11,8 @@
     private static final int QUEUE_FACTOR = 2;
 
     @Override
-    public Optional<Place> place(Call call, Stream<Candidate> candidates, Room room) {
-        return candidates
+    public Optional<Place> place(Call call, List<Candidate> candidates, Room room) {
+        return candidates.stream()
                 .filter(candidate -> candidate.running() == 0
                         || candidate.running() * room.unheard()
                                 < QUEUE_FACTOR * candidate.upstream().upstream().places())
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Mixing.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Mixing.java
@@ -11,7 +11,10 @@
 
     /** Hashes a text (FNV-1a), and mixes the high bits into the low ones. */
     static long mix(String text) {
-        long hash = text.chars().asLongStream().reduce(OFFSET, (sofar, character) -> (sofar ^ character) * PRIME);
+        long hash = OFFSET;
+        for (int index = 0; index < text.length(); index++) {
+            hash = (hash ^ text.charAt(index)) * PRIME;
+        }
         return fold(hash);
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -14,33 +16,47 @@
  *
  * @param registered how many gateways are registered, this one included
  * @param reports what each linked gateway said last
+ * @param loads what all of them have at each upstream
  * @param told what this gateway last told the others
  * @param lastTold when it did
  */
-record Peers(int registered, PMap<String, GatewayReport> reports, GatewayReport told, Instant lastTold) {
+record Peers(
+        int registered,
+        PMap<String, GatewayReport> reports,
+        PMap<UpstreamIdentifier, UpstreamLoadElsewhere> loads,
+        GatewayReport told,
+        Instant lastTold) {
 
-    static final Peers NONE = new Peers(1, HashTreePMap.empty(), GatewayReport.EMPTY, Instant.MIN);
+    static final Peers NONE =
+            new Peers(1, HashTreePMap.empty(), HashTreePMap.empty(), GatewayReport.EMPTY, Instant.MIN);
 
     Peers counted(int gateways) {
-        return new Peers(Math.max(1, gateways), reports, told, lastTold);
+        return new Peers(Math.max(1, gateways), reports, loads, told, lastTold);
     }
 
     /** A gateway that is new here has heard nothing yet, so what was told counts as untold. */
     Peers linked(String peer) {
-        Peers untold = new Peers(registered, reports, GatewayReport.EMPTY, Instant.MIN);
+        Peers untold = new Peers(registered, reports, loads, GatewayReport.EMPTY, Instant.MIN);
         return reports.containsKey(peer) ? untold : untold.reported(peer, GatewayReport.EMPTY);
     }
 
     Peers reported(String peer, GatewayReport report) {
-        return new Peers(registered, reports.plus(peer, report), told, lastTold);
+        return with(reports.plus(peer, report));
     }
 
     Peers lost(String peer) {
-        return new Peers(registered, reports.minus(peer), told, lastTold);
+        return with(reports.minus(peer));
+    }
+
+    private Peers with(PMap<String, GatewayReport> next) {
+        Map<UpstreamIdentifier, UpstreamLoadElsewhere> sums = new HashMap<>();
+        next.values().forEach(report -> report.loads()
+                .forEach((name, load) -> sums.merge(name, load, UpstreamLoadElsewhere::plus)));
+        return new Peers(registered, next, HashTreePMap.from(sums), told, lastTold);
     }
 
     Peers told(GatewayReport report, Instant now) {
-        return new Peers(registered, reports, report, now);
+        return new Peers(registered, reports, loads, report, now);
     }
 
     /** Tells whether the others need to hear of this gateway: something changed, and the last telling is an interval ago. */
@@ -61,9 +77,7 @@
     }
 
     UpstreamLoadElsewhere load(UpstreamIdentifier upstream) {
-        return reports.values().stream()
-                .map(report -> report.loads().getOrDefault(upstream, UpstreamLoadElsewhere.NONE))
-                .reduce(UpstreamLoadElsewhere.NONE, UpstreamLoadElsewhere::plus);
+        return loads.getOrDefault(upstream, UpstreamLoadElsewhere.NONE);
     }
 
     /** The accounts whose turn it is at the other gateways. */
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
@@ -1,7 +1,7 @@
 package org.sassafrastrail.gate;
 
+import java.util.List;
 import java.util.Optional;
-import java.util.stream.Stream;
 
 /** Where a request goes, of the upstreams that may get it. */
 interface Placement {
@@ -51,5 +51,5 @@
      * @param room how much of the upstreams' room the request may take
      * @return the place, or empty if the request had better wait here
      */
-    Optional<Place> place(Call call, Stream<Candidate> candidates, Room room);
+    Optional<Place> place(Call call, List<Candidate> candidates, Room room);
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/PromptPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/PromptPlacement.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 
 /**
  * Places a prompt where it will be read soonest and where its parts stay useful. Each session ranks the upstreams, the
@@ -31,20 +30,23 @@
     private record Hashed(Candidate candidate, long hash) {}
 
     @Override
-    public Optional<Place> place(Call call, Stream<Candidate> candidates, Room room) {
+    public Optional<Place> place(Call call, List<Candidate> candidates, Room room) {
+        if (candidates.stream().noneMatch(candidate -> admits(candidate, call, room))) {
+            return Optional.empty();
+        }
         Prompt prompt = call.description().prompt();
         List<Candidate> ranked = ranked(prompt, candidates);
         return IntStream.range(0, ranked.size())
                 .mapToObj(rank -> weigh(prompt, ranked.get(rank), rank))
                 .min(Comparator.comparingDouble(Weighed::weight))
                 .map(Weighed::place)
-                .filter(place -> admits(place, call, room));
+                .filter(place -> admits(place.candidate(), call, room));
     }
 
     /** Orders the upstreams by a hash that every gateway computes alike. */
-    private static List<Candidate> ranked(Prompt prompt, Stream<Candidate> candidates) {
+    private static List<Candidate> ranked(Prompt prompt, List<Candidate> candidates) {
         long session = Mixing.mix(prompt.session().map(PromptPart::identifier).orElse(""));
-        return candidates
+        return candidates.stream()
                 .map(candidate -> new Hashed(
                         candidate,
                         Mixing.mix(session, Mixing.mix(candidate.identifier().value()))))
@@ -62,10 +64,9 @@
     }
 
     /** An idle engine takes any prompt; a busy one takes more only while the wait behind them fits into the aim. */
-    private boolean admits(Place place, Call call, Room room) {
+    private boolean admits(Candidate candidate, Call call, Room room) {
         double aim = call.description().route().aim().toMillis() * limits.mostWaitShareOfAim();
         double allowed = aim * limits.readTokensPerMillisecond() * room.share();
-        Candidate candidate = place.candidate();
         int places = candidate.upstream().upstream().places();
         return candidate.running() * room.unheard() < places
                 && (candidate.tokensAhead() == 0 || candidate.tokensAhead() * room.unheard() < allowed);
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -2,8 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
-import java.util.stream.Stream;
 
 import org.sassafrastrail.decision.Transition;
 import org.sassafrastrail.model.TargetName;
@@ -35,51 +35,79 @@
      * one upstream only.
      */
     Transition<GateState, GateAction> send(GateState state, TargetName target, Instant now) {
+        if (state.waitingCalls().noneMatch(call -> call.target().equals(target))) {
+            return Transition.stay(state);
+        }
+        Candidates candidates = candidates(state, target, now);
         Optional<Transition<GateState, GateAction>> repeated = state.waitingCalls()
                 .filter(call -> call.attempts() > 0 && call.target().equals(target))
-                .flatMap(call -> dispatch(state, call, WHOLE, now).stream())
+                .flatMap(call -> dispatch(state, call, candidates, WHOLE, now).stream())
                 .findFirst();
-        return repeated.or(() -> fresh(state, target, now))
+        return repeated.or(() -> fresh(state, target, candidates, now))
                 .map(sent -> sent.and(next -> send(next, target, now)))
                 .orElseGet(() -> Transition.stay(state));
     }
 
-    private Optional<Transition<GateState, GateAction>> fresh(GateState state, TargetName target, Instant now) {
+    private Optional<Transition<GateState, GateAction>> fresh(
+            GateState state, TargetName target, Candidates candidates, Instant now) {
         Turns turns = Turns.of(state, target, now);
         return turns.inOrder()
                 .limit(limits.turnsLookedAt())
-                .flatMap(turn -> dispatch(state, turn.call(), share(turns, turn), now).stream())
+                .flatMap(turn -> dispatch(state, turn.call(), candidates, share(turns, turn), now).stream())
                 .findFirst();
     }
 
+    /** Sends a request that has just arrived, if it finds a place. Nothing changed for the others that wait. */
+    Transition<GateState, GateAction> sendArrived(GateState state, Call call, Instant now) {
+        Turns turns = Turns.of(state, call.target(), now);
+        double share = share(turns, turns.of(call));
+        return dispatch(state, call, candidates(state, call.target(), now), share, now)
+                .orElseGet(() -> Transition.stay(state));
+    }
+
     /** While an account that got less waits anywhere, the others leave it room. */
     private double share(Turns turns, Turns.Turn turn) {
         return turns.othersComeFirst(turn) ? limits.laterTurnShare() : WHOLE;
     }
 
     private Optional<Transition<GateState, GateAction>> dispatch(
-            GateState state, Call call, double share, Instant now) {
-        return place(state, call, share, now).map(place -> dispatch(state, call, place, now));
+            GateState state, Call call, Candidates candidates, double share, Instant now) {
+        Placement placement = call.description().route().prompted() ? prompts : plain;
+        return placement
+                .place(
+                        call,
+                        candidates.untriedBy(call),
+                        new Placement.Room(state.peers().unheard(), share))
+                .map(place -> dispatch(state, call, place, now));
     }
 
-    private Optional<Placement.Place> place(GateState state, Call call, double share, Instant now) {
-        Stream<Placement.Candidate> candidates = state.upstreams().values().stream()
-                .filter(upstream -> mayGet(state, upstream, call, now))
+    /** The upstreams of a target that may get requests now. */
+    private record Candidates(List<Placement.Candidate> upstreams) {
+
+        List<Placement.Candidate> untriedBy(Call call) {
+            return call.tried().isEmpty()
+                    ? upstreams
+                    : upstreams.stream()
+                            .filter(candidate -> !call.tried().contains(candidate.identifier()))
+                            .toList();
+        }
+    }
+
+    private Candidates candidates(GateState state, TargetName target, Instant now) {
+        return new Candidates(state.upstreams().values().stream()
+                .filter(upstream -> mayGet(state, upstream, target, now))
                 .map(upstream -> new Placement.Candidate(
-                        upstream, state.peers().load(upstream.upstream().identifier())));
-        Placement placement = call.description().route().prompted() ? prompts : plain;
-        return placement.place(
-                call, candidates, new Placement.Room(state.peers().unheard(), share));
+                        upstream, state.peers().load(upstream.upstream().identifier())))
+                .toList());
     }
 
-    private boolean mayGet(GateState state, UpstreamState upstream, Call call, Instant now) {
+    private boolean mayGet(GateState state, UpstreamState upstream, TargetName target, Instant now) {
         Upstream entry = upstream.upstream();
-        return entry.target().equals(call.target())
+        return entry.target().equals(target)
                 && upstream.registered()
                 && !entry.leaving()
                 && !upstream.isEjected(now)
                 && !state.domainsOut().contains(entry.domain())
-                && !call.tried().contains(entry.identifier())
                 && (!upstream.isCold(now) || coldAllows(state, upstream, now));
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Turns.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Turns.java
@@ -22,6 +22,9 @@
 
     private static final double SAME_FACTOR = 1.25;
 
+    private static final Comparator<Turn> ORDER = Comparator.comparingDouble(Turn::used)
+            .thenComparing(turn -> turn.call().waitingSince());
+
     private final List<Turn> turns;
     private final double least;
 
@@ -43,11 +46,9 @@
         List<Turn> turns = fresh(state, target)
                 .map(call -> new Turn(call, used.computeIfAbsent(account(call), name -> state.usage()
                         .tokens(name, now))))
-                .sorted(Comparator.comparingDouble(Turn::used)
-                        .thenComparing(turn -> turn.call().waitingSince()))
                 .toList();
         double least = Stream.concat(
-                        turns.stream().limit(1).map(Turn::used),
+                        turns.stream().map(Turn::used),
                         state.peers().turns(target).map(name -> state.usage().tokens(name, now)))
                 .min(Comparator.naturalOrder())
                 .orElse(Double.MAX_VALUE);
@@ -68,11 +69,18 @@
                 .distinct()
                 .collect(Collectors.toMap(
                         target -> target,
-                        target -> account(of(state, target, now).turns.get(0).call()))));
+                        target -> account(of(state, target, now).turns.stream()
+                                .min(ORDER)
+                                .orElseThrow()
+                                .call()))));
+    }
+
+    Turn of(Call call) {
+        return turns.stream().filter(turn -> turn.call() == call).findFirst().orElseThrow();
     }
 
     Stream<Turn> inOrder() {
-        return turns.stream();
+        return turns.stream().sorted(ORDER);
     }
 
     /** Tells whether an account that waits somewhere in the fleet got clearly less than the one of this turn. */
