Close each caller's connection the moment it falls idle while stopping

Now the end of the answer closes the connection. The test asks again right after the end and finds no request at the upstream.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -141,9 +141,9 @@
         events.accept(new GateEvent.CallArrived(number, description));
     }
 
-    /** Closes the connections that carry no request now. */
-    void closeIdle() {
-        open.closeIdle();
+    /** Closes each connection as soon as it carries no request. */
+    void closeWhenIdle() {
+        open.closeWhenIdle();
     }
 
     private void end(long number) {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -36,8 +36,6 @@
     /** The platform asks every second and needs two misses; one second more lets callers' connections arrive. */
     private static final Duration ACCEPTING_WHILE_STOPPING = Duration.ofMillis(2700);
 
-    private static final Duration CLOSE_IDLE_EVERY = Duration.ofMillis(100);
-
     private static final int BUFFER_BYTES = 16 * 1024;
 
     private final GatewaySettings settings;
@@ -135,7 +133,8 @@
 
     /**
      * Stops gracefully: says at once that it is not ready, turns new connections away once the platform has had time to
-     * notice, closes those that are idle, and ends when nothing runs, at most as long as the grace lasts.
+     * notice, closes each that is open as it falls idle, because an answer that had begun before could not tell its caller
+     * to leave, and ends when nothing runs, at most as long as the grace lasts.
      */
     @Override
     public void stop() {
@@ -143,9 +142,9 @@
         post(new GateEvent.StopRequested());
         boolean early = awaitDrained(ACCEPTING_WHILE_STOPPING);
         entrance.stopAccepting();
-        callers.closeIdle();
+        callers.closeWhenIdle();
         if (!early) {
-            closeConnectionsAsTheyFallIdle(settings.limits().drainAtMost().minus(ACCEPTING_WHILE_STOPPING));
+            awaitDrained(settings.limits().drainAtMost().minus(ACCEPTING_WHILE_STOPPING));
         }
         stopTelling.run();
         entrance.stop();
@@ -157,14 +156,6 @@
         log.info("stopped", LogField.of("node", settings.node()));
     }
 
-    /** An answer whose head was sent before the stop could not tell its caller to leave the connection. */
-    private void closeConnectionsAsTheyFallIdle(Duration patience) {
-        long turns = patience.dividedBy(CLOSE_IDLE_EVERY);
-        for (long turn = 0; turn < turns && !awaitDrained(CLOSE_IDLE_EVERY); turn++) {
-            callers.closeIdle();
-        }
-    }
-
     private boolean awaitDrained(Duration patience) {
         try {
             return drained.await(patience.toMillis(), TimeUnit.MILLISECONDS);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/OpenConnections.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/OpenConnections.java
@@ -17,6 +17,7 @@
 
     private final Map<ServerConnection, AtomicLong> carried = new ConcurrentHashMap<>();
     private final LongConsumer closed;
+    private volatile boolean closing;
 
     /**
      * Makes the list.
@@ -34,6 +35,9 @@
         exchange.addExchangeCompleteListener((done, next) -> {
             current.compareAndSet(number, IDLE);
             next.proceed();
+            if (closing) {
+                IoUtils.safeClose(done.getConnection());
+            }
         });
     }
 
@@ -48,8 +52,9 @@
         return current;
     }
 
-    /** Closes the connections that carry no request at the moment when their own thread comes to it. */
-    void closeIdle() {
+    /** Closes each connection as soon as it carries no request, from now on. */
+    void closeWhenIdle() {
+        closing = true;
         carried.forEach((connection, current) -> {
             if (current.get() == IDLE) {
                 connection.getIoThread().execute(() -> {
