Start gateways from an archive of their classes, recorded by a rehearsal in the build

The build now runs a gateway on a small stand-in platform (rehearse), which the JVM records. A rehearsal that cannot start ends the build step, and one that hangs is ended after 60 s: it hung once, because a thread outlived a failed start. Without an archive a gateway starts as before.

--- a/application/src/main/java/org/sassafrastrail/application/Main.java
+++ b/application/src/main/java/org/sassafrastrail/application/Main.java
@@ -24,7 +24,7 @@
      */
     public static void main(String[] arguments) {
         ExitCode code = run(Arrays.asList(arguments), Clock.systemUTC(), System.out);
-        if (code != ExitCode.DONE) {
+        if (code != ExitCode.DONE || arguments[0].equals(Rehearsal.WORD)) {
             System.exit(code.number());
         }
     }
@@ -35,12 +35,16 @@
         if (arguments.isEmpty() || arguments.equals(List.of("--help"))) {
             programs.usage().forEach(output::println);
             output.println(LoadProgram.USAGE);
+            output.println(Rehearsal.WORD);
             operators.usage().forEach(output::println);
             return arguments.isEmpty() ? ExitCode.USAGE : ExitCode.DONE;
         }
         if (arguments.get(0).equals(LoadProgram.WORD)) {
             return new LoadProgram(clock).run(arguments, output);
         }
+        if (arguments.get(0).equals(Rehearsal.WORD)) {
+            return Rehearsal.run(clock, output);
+        }
         if (programs.has(arguments.get(0))) {
             return programs.run(arguments, output);
         }
--- a/standins/src/main/java/org/sassafrastrail/standins/PlatformStandIn.java
+++ b/standins/src/main/java/org/sassafrastrail/standins/PlatformStandIn.java
@@ -53,8 +53,12 @@
                 .put("host", vm.host())
                 .put("port", vm.port())
                 .put("leaving", vm.leaving());
-        String encoded = Base64.getEncoder().encodeToString(value.toString().getBytes(StandardCharsets.UTF_8));
-        tables.change(List.of(), Map.of(new RowTables.Place(VMS, "", vm.node()), encoded), List.of());
+        put(VMS, vm.node(), value.toString());
+    }
+
+    void put(String table, String key, String value) {
+        String encoded = Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
+        tables.change(List.of(), Map.of(new RowTables.Place(table, "", key), encoded), List.of());
     }
 
     @Override
--- a/platform/src/test/java/org/sassafrastrail/platform/WorkerStandIn.java
+++ b/standins/src/main/java/org/sassafrastrail/standins/WorkerStandIn.java
@@ -1,4 +1,4 @@
-package org.sassafrastrail.platform;
+package org.sassafrastrail.standins;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -18,9 +18,9 @@
 import org.xnio.IoUtils;
 
 /** An upstream as the platform runs them, which does what the first word of the path asks for. */
-final class WorkerStandIn implements AutoCloseable {
+public final class WorkerStandIn implements AutoCloseable {
 
-    static final HttpString RECEIPT = new HttpString("X-Response-Seal");
+    private static final HttpString RECEIPT = new HttpString("X-Response-Seal");
 
     private static final HttpString REQUEST = new HttpString("X-Request-Id");
 
@@ -30,7 +30,12 @@
     private final CountDownLatch released = new CountDownLatch(1);
     private final CountDownLatch noticedLeave = new CountDownLatch(1);
 
-    WorkerStandIn(String identifier) {
+    /**
+     * Starts an upstream on a free port of the loopback address.
+     *
+     * @param identifier its identifier
+     */
+    public WorkerStandIn(String identifier) {
         this.identifier = identifier;
         this.server = Undertow.builder()
                 .addHttpListener(0, "127.0.0.1")
@@ -41,8 +46,19 @@
         server.start();
     }
 
-    /** A request that reached the upstream. */
-    record Seen(
+    /**
+     * A request that reached the upstream.
+     *
+     * @param request the caller's identifier of it
+     * @param path its path and query
+     * @param body its body
+     * @param account the account that it is for
+     * @param expected the upstream that it is meant for
+     * @param key a caller's key that should not have come along
+     * @param lastEvent the last event of the stream that it goes on with
+     * @param patience how many milliseconds it has, -1 if it does not say
+     */
+    public record Seen(
             String request,
             String path,
             String body,
@@ -52,19 +68,36 @@
             Optional<String> lastEvent,
             long patience) {}
 
-    int port() {
+    /**
+     * Returns where it listens.
+     *
+     * @return the port
+     */
+    public int port() {
         return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
     }
 
-    List<Seen> seen() {
+    /**
+     * Returns what reached it.
+     *
+     * @return the requests so far
+     */
+    public List<Seen> seen() {
         return List.copyOf(seen);
     }
 
-    void release() {
+    /** Ends the answers that hang. */
+    public void release() {
         released.countDown();
     }
 
-    boolean noticedLeave() throws InterruptedException {
+    /**
+     * Waits until the reader of an answer that hangs goes away.
+     *
+     * @return whether one did
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public boolean noticedLeave() throws InterruptedException {
         return noticedLeave.await(5, TimeUnit.SECONDS);
     }
 
