--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/ProcessFailureTest.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/ProcessFailureTest.java
@@ -187,7 +187,8 @@
                 .count();
 
         assertThat(accepted).isPositive();
-        assertThat(accepted + refused).isEqualTo(racers.size());
+        List<String> outputs = racers.stream().map(ProgramProcess::output).toList();
+        assertThat(accepted + refused).as("what they were told: %s", outputs).isEqualTo(racers.size());
         assertThat(codes.stream().filter(code -> code == 0).count()).isEqualTo(accepted);
     }
 
--- a/durable/src/main/java/org/sassafrastrail/durable/ConfigurationStore.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/ConfigurationStore.java
@@ -95,7 +95,6 @@
                 .toList();
     }
 
-    /** Reads the row back: it tells whose change took effect, also when the answer to the write was lost. */
     /** Moves the row on from the base. The store numbers its rows by itself, so the row's version has to be read. */
     private TableWrite move(RevisionRow row, Revision base) {
         TableRead read = table.read(ROW);
@@ -112,6 +111,7 @@
         return new TableWrite.Unavailable();
     }
 
+    /** Reads the row back: it tells whose change took effect, also when the answer to the write was lost. */
     private Change settle(RuleDocument document, RevisionRow row) {
         TableRead read = table.read(ROW);
         if (read instanceof TableRead.Found found && found.value().equals(row.text())) {
