Split the writing of a caller's answer from the attempts that it comes from

CallerAnswer now holds what is written and what waits for the caller; the two ways to end an answer, gathered and streamed, were copies and are one.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -1,7 +1,6 @@
 package org.sassafrastrail.gateway;
 
 import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Clock;
 import java.time.Duration;
@@ -19,7 +18,6 @@
 import org.sassafrastrail.gate.Upstream;
 import org.sassafrastrail.http.Problem;
 import org.xnio.IoUtils;
-import org.xnio.channels.StreamSinkChannel;
 
 /**
  * A caller's request on its way: its attempts one after the other, and the answer as far as the caller has it. All but the
@@ -42,6 +40,7 @@
     private final CallRecorder recorder;
     private final Clock clock;
     private final Optional<EventCutter> cutter;
+    private final CallerAnswer answer;
 
     private UpstreamAttempt attempt;
     private int attemptNumber;
@@ -49,10 +48,6 @@
     private UpstreamHead head;
     private Optional<ByteArrayOutputStream> gathered = Optional.empty();
     private Optional<GatheredAnswer> kept = Optional.empty();
-    private StreamSinkChannel sink;
-    private ByteBuffer unwritten = ByteBuffer.wrap(NOTHING);
-    private boolean finishing;
-    private boolean closed;
     private Ending ending = Ending.ANSWERED;
     private Runnable leaveCheck = () -> {};
     private Optional<Duration> firstAfter = Optional.empty();
@@ -75,6 +70,7 @@
         this.recorder = recorder;
         this.clock = clock;
         this.cutter = description.route().resumable() ? Optional.of(new EventCutter()) : Optional.empty();
+        this.answer = new CallerAnswer(exchange, () -> attempt.resume(), this::callerLeft);
     }
 
     /** An upstream's whole answer. */
@@ -112,11 +108,11 @@
     }
 
     void closed() {
-        closed = true;
+        answer.close();
     }
 
     void dispatch(GateAction.Dispatch dispatch) {
-        if (closed) {
+        if (answer.isClosed()) {
             return;
         }
         attemptNumber = dispatch.attempt();
@@ -132,14 +128,15 @@
     /** Makes the request to the upstream at the moment when it can be sent, or none if the caller has left or its time is up. */
     private Optional<ClientRequest> message() {
         leaveCheck.run();
-        if (closed) {
+        if (answer.isClosed()) {
             return Optional.empty();
         }
         Duration left = Duration.between(clock.instant(), description.giveUpAt());
         if (left.isNegative() || left.isZero()) {
             return Optional.empty();
         }
-        Optional<String> resumeAfter = sink == null ? Optional.empty() : cutter.flatMap(EventCutter::lastIdentifier);
+        Optional<String> resumeAfter =
+                answer.hasBegun() ? cutter.flatMap(EventCutter::lastIdentifier) : Optional.empty();
         ClientRequest message =
                 new ClientRequest().setMethod(exchange.getRequestMethod()).setPath(target());
         protocol.toUpstream(exchange.getRequestHeaders(), description, upstream, left, resumeAfter)
@@ -162,16 +159,16 @@
     }
 
     @Override
-    public void answers(UpstreamHead answer) {
-        head = answer;
+    public void answers(UpstreamHead began) {
+        head = began;
         if (firstAfter.isEmpty()) {
             firstAfter = Optional.of(Duration.between(description.arrivedAt(), clock.instant()));
         }
-        boolean small = answer.length().isPresent() && answer.length().getAsLong() <= LARGEST_GATHERED_BYTES;
-        boolean failed = answer.kind() == AnswerKind.FAILED;
+        boolean small = began.length().isPresent() && began.length().getAsLong() <= LARGEST_GATHERED_BYTES;
+        boolean failed = began.kind() == AnswerKind.FAILED;
         boolean plain =
-                !description.route().streamed() && (small || answer.length().isEmpty());
-        if (sink == null && (failed || plain)) {
+                !description.route().streamed() && (small || began.length().isEmpty());
+        if (!answer.hasBegun() && (failed || plain)) {
             gathered = Optional.of(new ByteArrayOutputStream());
         }
         events.accept(new GateEvent.AnswerBegan(number, attemptNumber));
@@ -182,10 +179,8 @@
         if (gathered.isPresent()) {
             return gather(part, gathered.get());
         }
-        if (cutter.isPresent()) {
-            return write(ByteBuffer.wrap(cutter.get().whole(part)));
-        }
-        return write(part);
+        return answer.write(
+                head, cutter.map(cut -> ByteBuffer.wrap(cut.whole(part))).orElse(part));
     }
 
     /** An answer that is too large to gather is passed on as it comes. */
@@ -197,100 +192,31 @@
             return true;
         }
         gathered = Optional.empty();
-        return write(ByteBuffer.wrap(sofar.toByteArray()));
-    }
-
-    private boolean write(ByteBuffer part) {
-        if (closed || !part.hasRemaining()) {
-            return true;
-        }
-        begin(head);
-        try {
-            while (part.hasRemaining()) {
-                if (sink.write(part) == 0) {
-                    unwritten = copy(part);
-                    sink.getWriteSetter().set(channel -> writeOn());
-                    sink.resumeWrites();
-                    return false;
-                }
-            }
-            return true;
-        } catch (IOException left) {
-            callerLeft();
-            return true;
-        }
-    }
-
-    private static ByteBuffer copy(ByteBuffer part) {
-        ByteBuffer copy = ByteBuffer.allocate(part.remaining());
-        copy.put(part).flip();
-        return copy;
-    }
-
-    /** The caller reads again: writes what was left, then lets the upstream's answer go on. */
-    private void writeOn() {
-        try {
-            while (unwritten.hasRemaining()) {
-                if (sink.write(unwritten) == 0) {
-                    return;
-                }
-            }
-            if (!sink.flush()) {
-                return;
-            }
-            sink.suspendWrites();
-            if (finishing) {
-                finish();
-            } else {
-                attempt.resume();
-            }
-        } catch (IOException left) {
-            callerLeft();
-        }
+        return answer.write(head, ByteBuffer.wrap(sofar.toByteArray()));
     }
 
     @Override
     public void pauses() {
-        if (sink == null || closed) {
-            return;
-        }
-        try {
-            if (!sink.flush()) {
-                sink.getWriteSetter().set(channel -> writeOn());
-                sink.resumeWrites();
-            }
-        } catch (IOException left) {
-            callerLeft();
-        }
-    }
-
-    /** Sends the head of the answer, once. */
-    private void begin(UpstreamHead answer) {
-        if (sink == null) {
-            exchange.setStatusCode(answer.status());
-            exchange.getResponseHeaders().clear();
-            answer.headers().forEach(header -> exchange.getResponseHeaders().addAll(header.getHeaderName(), header));
-            sink = exchange.getResponseChannel();
-        }
+        answer.flush();
     }
 
     @Override
     public void ends(AttemptResult result, String cause) {
-        boolean whole = result instanceof AttemptResult.Delivered;
-        if (whole && gathered.isPresent()) {
-            GatheredAnswer answer = new GatheredAnswer(head, gathered.get().toByteArray());
+        boolean complete = result instanceof AttemptResult.Delivered;
+        if (complete && gathered.isPresent()) {
+            GatheredAnswer whole = new GatheredAnswer(head, gathered.get().toByteArray());
             if (head.kind() == AnswerKind.FAILED) {
-                kept = Optional.of(answer);
+                kept = Optional.of(whole);
                 ended(new AttemptResult.Failed(), "status " + head.status());
             } else {
-                deliver(answer);
+                deliver(whole);
                 ended(result, cause);
             }
-        } else if (whole) {
-            finishStream();
+        } else if (complete) {
+            answer.end(head, cutter.map(EventCutter::rest).orElse(NOTHING));
             ended(result, cause);
         } else {
-            boolean partial = result instanceof AttemptResult.Broken && sink != null;
+            boolean partial = result instanceof AttemptResult.Broken && answer.hasBegun();
             ended(result instanceof AttemptResult.Broken && !partial ? new AttemptResult.Lost() : result, cause);
         }
     }
@@ -305,36 +231,12 @@
         kept.ifPresentOrElse(this::deliver, () -> fail(false));
     }
 
-    private void deliver(GatheredAnswer answer) {
-        if (closed) {
-            return;
-        }
-        begin(answer.head());
-        if (write(ByteBuffer.wrap(answer.body()))) {
-            finish();
-        } else {
-            finishing = true;
-        }
-    }
-
-    private void finishStream() {
-        begin(head);
-        byte[] rest = cutter.map(EventCutter::rest).orElse(NOTHING);
-        if (write(ByteBuffer.wrap(rest)) && !unwritten.hasRemaining()) {
-            finish();
-        } else {
-            finishing = true;
-        }
-    }
-
-    private void finish() {
-        if (!closed) {
-            exchange.endExchange();
-        }
+    private void deliver(GatheredAnswer whole) {
+        answer.end(whole.head(), whole.body());
     }
 
     void refuse(Problem problem, Duration comeBackAfter) {
-        if (closed) {
+        if (answer.isClosed()) {
             return;
         }
         if (exchange.isResponseStarted()) {
@@ -346,7 +248,7 @@
 
     /** Tells the caller that the outcome is unknown, or breaks off an answer that has begun. */
     void fail(boolean timedOut) {
-        if (closed) {
+        if (answer.isClosed()) {
             return;
         }
         if (exchange.isResponseStarted()) {
@@ -365,8 +267,8 @@
 
     /** The caller's connection is closed, by it or because writing to it failed. Its attempt ends at once. */
     void callerLeft() {
-        if (!closed) {
-            closed = true;
+        if (!answer.isClosed()) {
+            answer.close();
             if (ending == Ending.ANSWERED) {
                 ending = Ending.CALLER_LEFT;
             }
