--- a/application/src/main/java/org/sassafrastrail/application/PlatformGateway.java
+++ b/application/src/main/java/org/sassafrastrail/application/PlatformGateway.java
@@ -10,25 +10,23 @@
 import org.sassafrastrail.platform.PlatformHeaders;
 import org.sassafrastrail.platform.StoreAddress;
 import org.sassafrastrail.platform.StoreSurroundings;
+import org.sassafrastrail.runtime.HostAndPort;
 import org.sassafrastrail.runtime.Service;
 import org.sassafrastrail.runtime.Services;
 import org.sassafrastrail.runtime.SteadyClock;
 
-/** A gateway on the users' platform. */
-final class PlatformGateway implements Service {
+/** Puts together a gateway on the users' platform. */
+final class PlatformGateway {
 
     private static final Duration STORE_PATIENCE = Duration.ofMillis(800);
 
-    private final Services services;
+    private PlatformGateway() {}
 
-    PlatformGateway(GatewaySettings settings, Clock clock) {
+    static Service of(GatewaySettings settings, Clock clock) {
         UndertowCaller store = new UndertowCaller(1);
-        int colon = settings.store().lastIndexOf(':');
-        StoreAddress address = new StoreAddress(
-                settings.store().substring(0, colon),
-                Integer.parseInt(settings.store().substring(colon + 1)),
-                STORE_PATIENCE);
-        this.services = new Services(List.of(
+        HostAndPort place = HostAndPort.parse(settings.store());
+        StoreAddress address = new StoreAddress(place.host(), place.port(), STORE_PATIENCE);
+        return new Services(List.of(
                 store,
                 new GatewayDaemon(
                         settings,
@@ -36,14 +34,4 @@
                         new StoreSurroundings(store, address, settings.node()),
                         new SteadyClock(clock))));
     }
-
-    @Override
-    public void start() {
-        services.start();
-    }
-
-    @Override
-    public void stop() {
-        services.stop();
-    }
 }
--- a/application/src/main/java/org/sassafrastrail/application/Programs.java
+++ b/application/src/main/java/org/sassafrastrail/application/Programs.java
@@ -52,7 +52,7 @@
                     GatewaySettings.class,
                     GatewaySettings::logLevel,
                     settings -> Program.Exposure.withoutLinks(),
-                    PlatformGateway::new),
+                    PlatformGateway::of),
             new Program<>(
                     "standin",
                     StandInSettings.class,
--- a/application/src/main/java/org/sassafrastrail/application/Rehearsal.java
+++ b/application/src/main/java/org/sassafrastrail/application/Rehearsal.java
@@ -30,6 +30,7 @@
 
     static final String WORD = "rehearse";
 
+    private static final String HOST = "127.0.0.1";
     private static final int ROUNDS = 20;
     private static final Duration PATIENCE = Duration.ofSeconds(5);
     private static final Duration START_PATIENCE = Duration.ofSeconds(30);
@@ -39,7 +40,6 @@
     private static final byte[] BODY = new byte[2_000];
 
     private final Clock clock;
-    private final String host = "127.0.0.1";
     private final int callers = freePort();
     private final SmallPlatform platform;
     private final UndertowCaller caller = new UndertowCaller(1);
@@ -80,11 +80,11 @@
     private boolean run(int storePort) {
         GatewaySettings settings = new GatewaySettings(
                 "rehearsal",
-                host + ":" + callers,
-                host + ":" + freePort(),
-                host + ":" + freePort(),
+                HOST + ":" + callers,
+                HOST + ":" + freePort(),
+                HOST + ":" + freePort(),
                 List.of(),
-                host + ":" + storePort,
+                HOST + ":" + storePort,
                 null,
                 null,
                 null,
@@ -92,7 +92,7 @@
                 1.0,
                 null,
                 "INFO");
-        Services services = new Services(List.of(platform, caller, new PlatformGateway(settings, clock)));
+        Services services = new Services(List.of(platform, caller, PlatformGateway.of(settings, clock)));
         services.start();
         boolean answered = awaitFirstAnswer();
         for (int round = 0; answered && round < ROUNDS; round++) {
@@ -123,7 +123,7 @@
     /** Reads an answer whole and returns its status, or nothing if it was not whole. */
     private Optional<Integer> answer(String path, String request) {
         HttpResult result =
-                caller.call(new HttpCall(host, callers, "POST", path, platform.headers(request), BODY, PATIENCE, true));
+                caller.call(new HttpCall(HOST, callers, "POST", path, platform.headers(request), BODY, PATIENCE, true));
         if (result instanceof HttpResult.Answered answered) {
             try (HttpAnswer answer = answered.answer()) {
                 answer.body().readAllBytes();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerListener.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerListener.java
@@ -7,6 +7,7 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
+import org.sassafrastrail.runtime.HostAndPort;
 import org.sassafrastrail.runtime.Service;
 import org.sassafrastrail.runtime.ServiceFailure;
 import org.xnio.ChannelListeners;
@@ -48,17 +49,16 @@
 
     @Override
     public void start() {
-        int colon = address.lastIndexOf(':');
-        InetSocketAddress place =
-                new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        HostAndPort place = HostAndPort.parse(address);
+        InetSocketAddress socket = new InetSocketAddress(place.host(), place.port());
         OptionMap options = OptionMap.builder()
                 .set(Options.TCP_NODELAY, true)
                 .set(Options.REUSE_ADDRESSES, true)
                 .set(Options.BACKLOG, BACKLOG)
                 .getMap();
         try {
-            server =
-                    worker.createStreamConnectionServer(place, ChannelListeners.openListenerAdapter(listener), options);
+            server = worker.createStreamConnectionServer(
+                    socket, ChannelListeners.openListenerAdapter(listener), options);
             server.resumeAccepts();
         } catch (IOException taken) {
             throw new ServiceFailure("HTTP port " + address, taken);
--- a/load/src/main/java/org/sassafrastrail/load/Caller.java
+++ b/load/src/main/java/org/sassafrastrail/load/Caller.java
@@ -15,6 +15,7 @@
 import org.sassafrastrail.http.HttpCall;
 import org.sassafrastrail.http.HttpCaller;
 import org.sassafrastrail.http.HttpResult;
+import org.sassafrastrail.runtime.HostAndPort;
 
 /** Sends one request after another and checks that each answer is whole and its own. */
 final class Caller {
@@ -50,7 +51,7 @@
     }
 
     private HttpCall httpCall(String router, String identifier) {
-        int colon = router.lastIndexOf(':');
+        HostAndPort place = HostAndPort.parse(router);
         Map<String, String> headers = new HashMap<>();
         headers.put("Authorization", "Bearer " + caller.key());
         headers.put("Content-Type", "application/json");
@@ -61,8 +62,8 @@
         }
         String body = "{\"id\":\"" + identifier + "\",\"tokens\":" + caller.tokens() + "}";
         return new HttpCall(
-                router.substring(0, colon),
-                Integer.parseInt(router.substring(colon + 1)),
+                place.host(),
+                place.port(),
                 caller.method(),
                 caller.path(),
                 headers,
--- a/operator/src/main/java/org/sassafrastrail/operator/RouterPages.java
+++ b/operator/src/main/java/org/sassafrastrail/operator/RouterPages.java
@@ -12,6 +12,7 @@
 import org.sassafrastrail.http.HttpCaller;
 import org.sassafrastrail.http.HttpResult;
 import org.sassafrastrail.messages.DispatchHeaders;
+import org.sassafrastrail.runtime.HostAndPort;
 
 /** Reads operators' pages from routers. */
 final class RouterPages {
@@ -43,10 +44,10 @@
     }
 
     private Optional<Page> read(String router, String path) {
-        int colon = router.lastIndexOf(':');
+        HostAndPort place = HostAndPort.parse(router);
         HttpCall call = new HttpCall(
-                router.substring(0, colon),
-                Integer.parseInt(router.substring(colon + 1)),
+                place.host(),
+                place.port(),
                 "GET",
                 path,
                 Map.of(DispatchHeaders.LINK_KEY, settings.linkKey()),
--- a/router/src/main/java/org/sassafrastrail/router/SidecarLinks.java
+++ b/router/src/main/java/org/sassafrastrail/router/SidecarLinks.java
@@ -14,6 +14,7 @@
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.model.NodeName;
 import org.sassafrastrail.router.core.RouterEvent;
+import org.sassafrastrail.runtime.HostAndPort;
 import org.sassafrastrail.runtime.Service;
 import org.sassafrastrail.wire.Link;
 import org.sassafrastrail.wire.LinkClosure;
@@ -28,9 +29,9 @@
 
     private final VmList list;
     private final LinkSelection selection;
-    private final List<Place> seeds;
+    private final List<HostAndPort> seeds;
     private final Consumer<RouterEvent> control;
-    private final Map<Place, LinkDialer> dialers = new ConcurrentHashMap<>();
+    private final Map<HostAndPort, LinkDialer> dialers = new ConcurrentHashMap<>();
     private final Map<NodeName, Link> links = new ConcurrentHashMap<>();
     private final Map<NodeName, Endpoint> endpoints = new ConcurrentHashMap<>();
     private volatile LinkSettings settings;
@@ -38,24 +39,15 @@
     SidecarLinks(VmList list, LinkSelection selection, List<String> seeds, Consumer<RouterEvent> control) {
         this.list = list;
         this.selection = selection;
-        this.seeds = seeds.stream().map(Place::parse).toList();
+        this.seeds = seeds.stream().map(HostAndPort::parse).toList();
         this.control = control;
     }
 
     /** Where a sidecar takes dispatches. */
     record Endpoint(String host, int port) {}
 
-    /** Where a sidecar takes links. */
-    private record Place(String host, int port) {
-
-        static Place of(VmEntry entry) {
-            return new Place(entry.host(), entry.port());
-        }
-
-        static Place parse(String text) {
-            int colon = text.lastIndexOf(':');
-            return new Place(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-        }
+    private static HostAndPort place(VmEntry entry) {
+        return new HostAndPort(entry.host(), entry.port());
     }
 
     void use(LinkSettings shared) {
@@ -74,7 +66,7 @@
                     .filter(entry -> entry.role() == VmEntry.Role.SIDECAR)
                     .toList();
             List<VmEntry> selected = selection.select(sidecars);
-            selected.forEach(entry -> dialers.computeIfAbsent(Place.of(entry), this::dial));
+            selected.forEach(entry -> dialers.computeIfAbsent(place(entry), this::dial));
             hangUp(selected);
             control.accept(new RouterEvent.VmsLeaving(selected.stream()
                     .filter(VmEntry::leaving)
@@ -83,15 +75,15 @@
         });
     }
 
-    private LinkDialer dial(Place place) {
+    private LinkDialer dial(HostAndPort place) {
         LinkDialer dialer = new LinkDialer(place.host(), place.port(), REDIAL, settings);
         dialer.start();
         return dialer;
     }
 
     private void hangUp(List<VmEntry> selected) {
-        Map<Place, VmEntry> wanted =
-                selected.stream().collect(Collectors.toMap(Place::of, entry -> entry, (first, second) -> second));
+        Map<HostAndPort, VmEntry> wanted = selected.stream()
+                .collect(Collectors.toMap(SidecarLinks::place, entry -> entry, (first, second) -> second));
         dialers.keySet().stream().filter(place -> !wanted.containsKey(place)).forEach(place -> {
             LinkDialer gone = dialers.remove(place);
             if (gone != null) {
