Read a request's head once, build a report for the peers only when it may be told, drop what nobody reads

Refusals at the door read the headers again; each tick made a report that was mostly thrown away, because the last telling was less than an interval ago; CallerLimits and two fields of TargetProfile had no reader (their limits are still not enforced).

--- a/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
@@ -59,11 +59,9 @@
         return new Peers(registered, reports, loads, report, now);
     }
 
-    /** Tells whether the others need to hear of this gateway: something changed, and the last telling is an interval ago. */
-    boolean tellingIsDue(GatewayReport report, Instant now, Duration interval) {
-        boolean rested =
-                lastTold.equals(Instant.MIN) || Duration.between(lastTold, now).compareTo(interval) >= 0;
-        return rested && !report.saysTheSameAs(told);
+    /** Tells whether the last telling is an interval ago. */
+    boolean mayTell(Instant now, Duration interval) {
+        return lastTold.equals(Instant.MIN) || Duration.between(lastTold, now).compareTo(interval) >= 0;
     }
 
     /** How many gateways share the upstreams. */
--- a/gate-core/src/main/java/org/sassafrastrail/gate/RouteTable.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/RouteTable.java
@@ -16,7 +16,7 @@
  * @param targets the services and models, by name
  * @param accountsByKey the client account of each key
  * @param keysRequired whether requests need a key, unless their route is anonymous
- * @param limits what callers may send
+ * @param largestBodyBytes the largest size of a request's body
  */
 public record RouteTable(
         long version,
@@ -24,7 +24,7 @@
         PMap<TargetName, TargetProfile> targets,
         PMap<String, AccountName> accountsByKey,
         boolean keysRequired,
-        CallerLimits limits) {
+        long largestBodyBytes) {
 
     /**
      * Finds the route of a request: of all whose prefix begins the path, the longest.
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TimeHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TimeHandler.java
@@ -31,8 +31,11 @@
     }
 
     private Transition<GateState, GateAction> tellPeers(GateState state, Instant now) {
+        if (!state.peers().mayTell(now, limits.tellPeersEvery())) {
+            return Transition.stay(state);
+        }
         GatewayReport report = report(state, now);
-        return state.peers().tellingIsDue(report, now, limits.tellPeersEvery())
+        return !report.saysTheSameAs(state.peers().told())
                 ? Transition.<GateState, GateAction>stay(
                                 state.with(state.peers().told(report, now)))
                         .then(new GateAction.TellPeers(report))
--- a/gate-core/src/test/java/org/sassafrastrail/gate/Gate.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/Gate.java
@@ -52,11 +52,11 @@
                 version,
                 HashTreePMap.empty(),
                 HashTreePMap.<TargetName, TargetProfile>empty()
-                        .plus(MODEL, new TargetProfile(MODEL, Duration.ofSeconds(3), 10, 100))
-                        .plus(DESK, new TargetProfile(DESK, Duration.ZERO, 0, 100)),
+                        .plus(MODEL, new TargetProfile(MODEL, 10))
+                        .plus(DESK, new TargetProfile(DESK, 0)),
                 HashTreePMap.empty(),
                 false,
-                new CallerLimits(1000, 1000, Duration.ofSeconds(1), Duration.ofSeconds(1)));
+                1000);
     }
 
     static Route route(String name, TargetName target, boolean repeatable, boolean prompted, int mostUpstreams) {
@@ -90,20 +90,14 @@
     }
 
     static Upstream leaving(Upstream upstream) {
-        return new Upstream(
-                upstream.identifier(),
-                upstream.target(),
-                upstream.host(),
-                upstream.port(),
-                upstream.domain(),
-                upstream.version(),
-                upstream.places(),
-                true,
-                upstream.coldLeft(),
-                upstream.born());
+        return changed(upstream, true, upstream.coldLeft());
     }
 
     static Upstream cold(Upstream upstream, Duration left) {
+        return changed(upstream, upstream.leaving(), left);
+    }
+
+    private static Upstream changed(Upstream upstream, boolean leaving, Duration coldLeft) {
         return new Upstream(
                 upstream.identifier(),
                 upstream.target(),
@@ -112,8 +106,8 @@
                 upstream.domain(),
                 upstream.version(),
                 upstream.places(),
-                upstream.leaving(),
-                left,
+                leaving,
+                coldLeft,
                 upstream.born());
     }
 
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -70,30 +70,31 @@
         long number = numbers.incrementAndGet();
         open.carries(exchange, number);
         exchange.addResponseCommitListener(this::endConnectionWhileStopping);
+        CallHead head = protocol.read(exchange.getRequestHeaders());
+        String request = head.request().orElse("");
         GateState known = state.get();
         if (known.table().isEmpty()) {
-            refuse(exchange, StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.NO_CONFIGURATION);
+            refuse(exchange, request, StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.NO_CONFIGURATION);
             return;
         }
         RouteTable table = known.table().get();
-        CallHead head = protocol.read(exchange.getRequestHeaders());
         Optional<Route> route = table.route(head.host(), exchange.getRequestPath());
         if (route.isEmpty()) {
-            refuse(exchange, StatusCodes.NOT_FOUND, RefusalReason.UNKNOWN_TARGET);
+            refuse(exchange, request, StatusCodes.NOT_FOUND, RefusalReason.UNKNOWN_TARGET);
             return;
         }
         Optional<AccountName> account = head.key().flatMap(table::account);
         if (table.keysRequired() && !route.get().anonymous() && account.isEmpty()) {
-            refuse(exchange, StatusCodes.UNAUTHORIZED, RefusalReason.UNKNOWN_ACCOUNT);
+            refuse(exchange, request, StatusCodes.UNAUTHORIZED, RefusalReason.UNKNOWN_ACCOUNT);
         } else if (head.request().isEmpty()) {
-            refuse(exchange, StatusCodes.BAD_REQUEST, RefusalReason.MALFORMED_REQUEST);
-        } else if (exchange.getRequestContentLength() > table.limits().bodyBytes()) {
-            refuse(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE, RefusalReason.BODY_TOO_LARGE);
+            refuse(exchange, request, StatusCodes.BAD_REQUEST, RefusalReason.MALFORMED_REQUEST);
+        } else if (exchange.getRequestContentLength() > table.largestBodyBytes()) {
+            refuse(exchange, request, StatusCodes.REQUEST_ENTITY_TOO_LARGE, RefusalReason.BODY_TOO_LARGE);
         } else if (bodyBytes.get() > MOST_BODY_BYTES_AT_ONCE) {
-            refuse(exchange, StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.ACCOUNT_QUEUE_FULL);
+            refuse(exchange, request, StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.ACCOUNT_QUEUE_FULL);
         } else {
             CallDescription description = describe(head, route.get(), account);
-            readBody(exchange, number, description, table.limits().bodyBytes());
+            readBody(exchange, number, description, table.largestBodyBytes());
         }
     }
 
@@ -121,7 +122,11 @@
                             if (read.isResponseStarted()) {
                                 IoUtils.safeClose(read.getConnection());
                             } else {
-                                refuse(read, StatusCodes.REQUEST_ENTITY_TOO_LARGE, RefusalReason.BODY_TOO_LARGE);
+                                refuse(
+                                        read,
+                                        description.request(),
+                                        StatusCodes.REQUEST_ENTITY_TOO_LARGE,
+                                        RefusalReason.BODY_TOO_LARGE);
                             }
                         });
     }
@@ -164,8 +169,7 @@
         }
     }
 
-    private void refuse(HttpServerExchange exchange, int status, RefusalReason reason) {
-        String request = protocol.read(exchange.getRequestHeaders()).request().orElse("");
+    private void refuse(HttpServerExchange exchange, String request, int status, RefusalReason reason) {
         String configuration =
                 state.get().table().map(table -> Long.toString(table.version())).orElse("none");
         recorder.refusedAtTheDoor(request, exchange.getHostName() + exchange.getRequestPath(), reason, configuration);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GateActions.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GateActions.java
@@ -1,16 +1,11 @@
 package org.sassafrastrail.gateway;
 
-import java.util.List;
 import java.util.Locale;
 import java.util.function.Consumer;
 
 import io.undertow.util.StatusCodes;
 import org.sassafrastrail.gate.GateAction;
 import org.sassafrastrail.gate.GatewayReport;
-import org.sassafrastrail.messages.AccountTurn;
-import org.sassafrastrail.messages.AccountUse;
-import org.sassafrastrail.messages.LoadReport;
-import org.sassafrastrail.messages.UpstreamLoad;
 import org.sassafrastrail.runtime.ActionExecutor;
 import org.sassafrastrail.runtime.EventLog;
 import org.sassafrastrail.runtime.LogField;
@@ -20,12 +15,13 @@
 final class GateActions implements ActionExecutor<GateAction> {
 
     private final CallerFrontEnd callers;
-    private final Consumer<LoadReport> peers;
+    private final Consumer<GatewayReport> peers;
     private final Runnable drained;
     private final Metrics metrics;
     private final EventLog log;
 
-    GateActions(CallerFrontEnd callers, Consumer<LoadReport> peers, Runnable drained, Metrics metrics, EventLog log) {
+    GateActions(
+            CallerFrontEnd callers, Consumer<GatewayReport> peers, Runnable drained, Metrics metrics, EventLog log) {
         this.callers = callers;
         this.peers = peers;
         this.drained = drained;
@@ -54,28 +50,12 @@
         } else if (action instanceof GateAction.InForce inForce) {
             log.info("configuration-in-force", LogField.of("version", inForce.version()));
         } else if (action instanceof GateAction.TellPeers tell) {
-            peers.accept(report(tell.report()));
+            peers.accept(tell.report());
         } else if (action instanceof GateAction.Drained) {
             drained.run();
         }
     }
 
-    private static LoadReport report(GatewayReport own) {
-        List<UpstreamLoad> loads = own.loads().entrySet().stream()
-                .map(load -> new UpstreamLoad(
-                        load.getKey().value(),
-                        load.getValue().running(),
-                        load.getValue().tokensToRead()))
-                .toList();
-        List<AccountUse> accounts = own.usage().entrySet().stream()
-                .map(use -> new AccountUse(use.getKey(), use.getValue()))
-                .toList();
-        List<AccountTurn> turns = own.turns().entrySet().stream()
-                .map(turn -> new AccountTurn(turn.getKey().value(), turn.getValue()))
-                .toList();
-        return new LoadReport(loads, accounts, turns);
-    }
-
     private void dispatch(GateAction.Dispatch dispatch) {
         if (dispatch.attempt() > 1) {
             metrics.count("attempts-repeated", 1);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -66,8 +66,8 @@
         DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
         this.worker = worker();
         this.callers = new CallerFrontEnd(protocol, this::state, this::post, new CallLog(metrics, log), clock, buffers);
-        GateActions actions =
-                new GateActions(callers, report -> peers().tell(report), drained::countDown, metrics, log);
+        this.peers = new PeerLinks(settings, new Incarnation(clock.millis()), this::post, metrics, log);
+        GateActions actions = new GateActions(callers, peers::tell, drained::countDown, metrics, log);
         this.control = new ControlLoop<>(
                 "control",
                 new GateCore(settings.limits()),
@@ -75,7 +75,6 @@
                 actions,
                 clock,
                 log);
-        this.peers = new PeerLinks(settings, new Incarnation(clock.millis()), this::post, metrics, log);
         this.ticker = new Ticker(TICK, this::busy, () -> post(new GateEvent.Ticked()), log);
         this.entrance = new CallerListener(settings.callers(), worker, buffers, callers);
         this.pages = new CallerListener(settings.readiness(), worker, buffers, this::page);
@@ -104,10 +103,6 @@
         exchange.endExchange();
     }
 
-    private PeerLinks peers() {
-        return peers;
-    }
-
     private GateState state() {
         return control.state();
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerCopies.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerCopies.java
@@ -1,6 +1,6 @@
 package org.sassafrastrail.gateway;
 
-import java.util.Map;
+import java.util.Collection;
 
 import org.sassafrastrail.durable.FollowedTable;
 
@@ -33,7 +33,7 @@
     /**
      * Links to the other gateways.
      *
-     * @param gateways the address of each registered gateway, by name
+     * @param gateways the address of each registered gateway
      */
-    void meet(Map<String, String> gateways);
+    void meet(Collection<String> gateways);
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -1,23 +1,18 @@
 package org.sassafrastrail.gateway;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
-import org.pcollections.HashTreePMap;
 import org.sassafrastrail.durable.FeedRow;
 import org.sassafrastrail.durable.FollowedTable;
 import org.sassafrastrail.gate.GateEvent;
 import org.sassafrastrail.gate.GatewayReport;
-import org.sassafrastrail.gate.UpstreamIdentifier;
-import org.sassafrastrail.gate.UpstreamLoadElsewhere;
-import org.sassafrastrail.messages.AccountTurn;
-import org.sassafrastrail.messages.AccountUse;
 import org.sassafrastrail.messages.CopiedRow;
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.Hello;
@@ -26,8 +21,8 @@
 import org.sassafrastrail.messages.TableCopy;
 import org.sassafrastrail.model.Incarnation;
 import org.sassafrastrail.model.NodeName;
-import org.sassafrastrail.model.TargetName;
 import org.sassafrastrail.runtime.EventLog;
+import org.sassafrastrail.runtime.HostAndPort;
 import org.sassafrastrail.runtime.LogField;
 import org.sassafrastrail.runtime.Metrics;
 import org.sassafrastrail.runtime.Service;
@@ -66,15 +61,8 @@
         Hello greeting = new Hello(Hello.PROTOCOL, NO_KEY, new NodeName(settings.node()), life, Optional.empty());
         this.linkSettings =
                 new LinkSettings(() -> greeting, new MessagePackCodec(), this, metrics, log, CONNECT_PATIENCE);
-        this.server = new LinkServer(host(settings.links()), port(settings.links()), linkSettings);
-    }
-
-    private static String host(String address) {
-        return address.substring(0, address.lastIndexOf(':'));
-    }
-
-    private static int port(String address) {
-        return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+        HostAndPort own = HostAndPort.parse(settings.links());
+        this.server = new LinkServer(own.host(), own.port(), linkSettings);
     }
 
     @Override
@@ -95,17 +83,18 @@
     }
 
     @Override
-    public void meet(Map<String, String> gateways) {
+    public void meet(Collection<String> gateways) {
         // Of two that are registered the one with the smaller address dials, so that there is one link between them.
-        gateways.values().stream()
+        gateways.stream()
                 .filter(address -> settings.links().compareTo(address) < 0)
                 .forEach(this::dial);
     }
 
     private void dial(String address) {
         if (!address.isEmpty() && !address.equals(settings.links())) {
-            dialers.computeIfAbsent(address, place -> {
-                LinkDialer dialer = new LinkDialer(host(place), port(place), REDIAL, linkSettings);
+            dialers.computeIfAbsent(address, text -> {
+                HostAndPort place = HostAndPort.parse(text);
+                LinkDialer dialer = new LinkDialer(place.host(), place.port(), REDIAL, linkSettings);
                 dialer.start();
                 return dialer;
             });
@@ -122,9 +111,9 @@
         sendToAll(new CopyRequest(table, version));
     }
 
-    /** Tells all peers what this gateway has at upstreams, and what client accounts got here. */
-    void tell(LoadReport report) {
-        sendToAll(report);
+    /** Tells all peers of this gateway. */
+    void tell(GatewayReport report) {
+        sendToAll(ReportMessages.message(report));
     }
 
     private void sendToAll(Message message) {
@@ -142,7 +131,7 @@
     @Override
     public void received(Link link, Message message) {
         if (message instanceof LoadReport report) {
-            events.accept(new GateEvent.PeerReported(link.peer().node().value(), read(report)));
+            events.accept(new GateEvent.PeerReported(link.peer().node().value(), ReportMessages.report(report)));
         } else if (message instanceof CopyRequest request) {
             Optional.ofNullable(tables.get(request.table()))
                     .map(FollowedTable::copy)
@@ -153,18 +142,6 @@
         }
     }
 
-    private static GatewayReport read(LoadReport report) {
-        return new GatewayReport(
-                HashTreePMap.from(report.loads().stream()
-                        .collect(Collectors.toMap(
-                                load -> new UpstreamIdentifier(load.upstream()),
-                                load -> new UpstreamLoadElsewhere(load.running(), load.tokensToRead())))),
-                HashTreePMap.from(
-                        report.accounts().stream().collect(Collectors.toMap(AccountUse::account, AccountUse::tokens))),
-                HashTreePMap.from(report.turns().stream()
-                        .collect(Collectors.toMap(turn -> new TargetName(turn.target()), AccountTurn::account))));
-    }
-
     private static TableCopy copy(String table, FollowedTable.Copy copy) {
         return new TableCopy(
                 table,
