--- a/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
@@ -80,7 +80,7 @@
         return result instanceof AttemptResult.Broken
                 ? Transition.<GateState, GateAction>stay(state.without(call))
                         .then(new GateAction.Fail(call.number(), false))
-                : calls.refuse(state, again, RefusalReason.UPSTREAM_DECLINED);
+                : calls.refuse(state, again, RefusalReason.UPSTREAM_DECLINED, now);
     }
 
     private boolean mayTryAgain(GateState state, Call again, AttemptResult result, Instant now) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
@@ -54,13 +54,13 @@
                 .forEach(
                         state.calls().values().stream()
                                 .filter(call -> !now.isBefore(call.description().giveUpAt())),
-                        (next, call) -> expire(next, call))
+                        (next, call) -> expire(next, call, now))
                 .and(next -> refuseStale(next, now));
     }
 
-    private Transition<GateState, GateAction> expire(GateState state, Call call) {
+    private Transition<GateState, GateAction> expire(GateState state, Call call, Instant now) {
         if (call.waits()) {
-            return refuse(state, call, RefusalReason.DEADLINE_EXCEEDED);
+            return refuse(state, call, RefusalReason.DEADLINE_EXCEEDED, now);
         }
         return end(state, call).then(new GateAction.Fail(call.number(), true));
     }
@@ -69,7 +69,7 @@
         return Transition.<GateState, GateAction>stay(state)
                 .forEach(
                         state.waitingCalls().filter(call -> heldTooLong(call, now)),
-                        (next, call) -> refuse(next, call, RefusalReason.HELD_TOO_LONG));
+                        (next, call) -> refuse(next, call, RefusalReason.HELD_TOO_LONG, now));
     }
 
     private boolean heldTooLong(Call call, Instant now) {
@@ -78,16 +78,21 @@
     }
 
     /** Ends a request that waits: refused if it never ran, else with the failure that is kept, or as unknown. */
-    Transition<GateState, GateAction> refuse(GateState state, Call call, RefusalReason reason) {
-        return Transition.<GateState, GateAction>stay(state.without(call)).then(finalAnswer(call, reason));
+    Transition<GateState, GateAction> refuse(GateState state, Call call, RefusalReason reason, Instant now) {
+        return Transition.<GateState, GateAction>stay(state.without(call)).then(finalAnswer(state, call, reason, now));
     }
 
-    private GateAction finalAnswer(Call call, RefusalReason reason) {
+    private GateAction finalAnswer(GateState state, Call call, RefusalReason reason, Instant now) {
         if (call.failureKept()) {
             return new GateAction.DeliverKept(call.number());
         }
         return call.mayHaveRun()
                 ? new GateAction.Fail(call.number(), reason == RefusalReason.DEADLINE_EXCEEDED)
-                : new GateAction.Refuse(call.number(), reason, limits.comeBackAfter());
+                : new GateAction.Refuse(
+                        call.number(),
+                        reason,
+                        limits.comeBackAfter(),
+                        Duration.between(call.waitingSince(), now),
+                        scheduler.roomSeen(state, call, now));
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GateAction.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateAction.java
@@ -34,8 +34,11 @@
      * @param call the request
      * @param reason why
      * @param comeBackAfter when a new request has a chance
+     * @param waited how long the request had waited since it arrived or its last attempt ended
+     * @param room the room that was seen
      */
-    record Refuse(long call, RefusalReason reason, Duration comeBackAfter) implements GateAction {}
+    record Refuse(long call, RefusalReason reason, Duration comeBackAfter, Duration waited, RoomSeen room)
+            implements GateAction {}
 
     /**
      * Give the caller the upstream's failure that was kept.
--- a/gate-core/src/main/java/org/sassafrastrail/gate/LeastRunningPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/LeastRunningPlacement.java
@@ -13,12 +13,17 @@
     @Override
     public Optional<Place> place(Call call, List<Candidate> candidates, Room room) {
         return candidates.stream()
-                .filter(candidate -> candidate.running() == 0
-                        || candidate.running() * room.unheard()
-                                < QUEUE_FACTOR * candidate.upstream().upstream().places())
+                .filter(candidate -> admits(candidate, call, room))
                 .min(Comparator.comparingInt(Candidate::running)
                         .thenComparingLong(candidate -> Mixing.mix(
                                 candidate.identifier() + call.description().request())))
                 .map(candidate -> new Place(candidate, 0));
     }
+
+    @Override
+    public boolean admits(Candidate candidate, Call call, Room room) {
+        return candidate.running() == 0
+                || candidate.running() * room.unheard()
+                        < QUEUE_FACTOR * candidate.upstream().upstream().places();
+    }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
@@ -66,12 +66,17 @@
 
     /** How many gateways share the upstreams. */
     int gateways() {
-        return Math.max(registered, 1 + reports.size());
+        return Math.max(registered, heard());
+    }
+
+    /** How many gateways are heard from, this one included. */
+    int heard() {
+        return 1 + reports.size();
     }
 
     /** By how much what is known of the upstreams' load has to be taken to stand for the gateways not heard from. */
     double unheard() {
-        return (double) gateways() / (1 + reports.size());
+        return (double) gateways() / heard();
     }
 
     UpstreamLoadElsewhere load(UpstreamIdentifier upstream) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
@@ -52,4 +52,14 @@
      * @return the place, or empty if the request had better wait here
      */
     Optional<Place> place(Call call, List<Candidate> candidates, Room room);
+
+    /**
+     * Tells whether an upstream has room for a request.
+     *
+     * @param candidate the upstream
+     * @param call the request
+     * @param room how much of the upstreams' room the request may take
+     * @return whether it has
+     */
+    boolean admits(Candidate candidate, Call call, Room room);
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Prompt.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Prompt.java
@@ -28,8 +28,12 @@
         return parts.stream().mapToLong(PromptPart::tokens).sum();
     }
 
-    /** What the request takes of the shared capacity, in tokens read; a written token counts twice. */
-    long cost() {
+    /**
+     * What the request takes of the shared capacity.
+     *
+     * @return its cost in tokens read; a written token counts twice
+     */
+    public long cost() {
         return inputTokens + WEIGHT_OF_OUTPUT * outputTokens;
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/PromptPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/PromptPlacement.java
@@ -64,7 +64,8 @@
     }
 
     /** An idle engine takes any prompt; a busy one takes more only while the wait behind them fits into the aim. */
-    private boolean admits(Candidate candidate, Call call, Room room) {
+    @Override
+    public boolean admits(Candidate candidate, Call call, Room room) {
         double aim = call.description().route().aim().toMillis() * limits.mostWaitShareOfAim();
         double allowed = aim * limits.readTokensPerMillisecond() * room.share();
         int places = candidate.upstream().upstream().places();
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -72,8 +72,7 @@
 
     private Optional<Transition<GateState, GateAction>> dispatch(
             GateState state, Call call, Candidates candidates, double share, Instant now) {
-        Placement placement = call.description().route().prompted() ? prompts : plain;
-        return placement
+        return placement(call)
                 .place(
                         call,
                         candidates.untriedBy(call),
@@ -81,6 +80,29 @@
                 .map(place -> dispatch(state, call, place, now));
     }
 
+    private Placement placement(Call call) {
+        return call.description().route().prompted() ? prompts : plain;
+    }
+
+    /** What speaks for or against sending a request, for the log. */
+    RoomSeen roomSeen(GateState state, Call call, Instant now) {
+        List<Placement.Candidate> usable = candidates(state, call.target(), now).untriedBy(call);
+        Placement.Room room = new Placement.Room(state.peers().unheard(), WHOLE);
+        long admitting = usable.stream()
+                .filter(candidate -> placement(call).admits(candidate, call, room))
+                .count();
+        long least = usable.stream()
+                .mapToLong(Placement.Candidate::tokensAhead)
+                .min()
+                .orElse(0);
+        return new RoomSeen(
+                usable.size(),
+                (int) admitting,
+                least,
+                state.peers().gateways(),
+                state.peers().heard());
+    }
+
     /** The upstreams of a target that may get requests now. */
     private record Candidates(List<Placement.Candidate> upstreams) {
 
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GateCoreTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GateCoreTest.java
@@ -177,8 +177,12 @@
         registerDesks();
         gate.arrive(1, BOOK);
         assertThat(gate.end(1, 1, new AttemptResult.Declined()))
-                .containsExactly(
-                        new GateAction.Refuse(1, RefusalReason.UPSTREAM_DECLINED, Gate.LIMITS.comeBackAfter()));
+                .containsExactly(new GateAction.Refuse(
+                        1,
+                        RefusalReason.UPSTREAM_DECLINED,
+                        Gate.LIMITS.comeBackAfter(),
+                        Duration.ZERO,
+                        new RoomSeen(1, 1, 0, 1, 1)));
     }
 
     @Test
@@ -220,7 +224,12 @@
         gate.arrive(1, BOOK);
         assertThat(gate.pass(Duration.ofMillis(150))).isEmpty();
         assertThat(gate.pass(Duration.ofMillis(60)))
-                .containsExactly(new GateAction.Refuse(1, RefusalReason.HELD_TOO_LONG, Gate.LIMITS.comeBackAfter()));
+                .containsExactly(new GateAction.Refuse(
+                        1,
+                        RefusalReason.HELD_TOO_LONG,
+                        Gate.LIMITS.comeBackAfter(),
+                        Duration.ofMillis(210),
+                        new RoomSeen(0, 0, 0, 1, 1)));
     }
 
     @Test
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallLog.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallLog.java
@@ -10,7 +10,7 @@
 /** Notes requests and attempts in the log and the metrics. Attempts that went well show in the request's last line. */
 final class CallLog implements CallRecorder {
 
-    private static final String NONE = "-";
+    static final String NONE = "-";
 
     private final Metrics metrics;
     private final EventLog log;
@@ -58,6 +58,7 @@
                 LogField.of(
                         "account",
                         call.description().account().map(Object::toString).orElse(NONE)),
+                LogField.of("cost", call.description().prompt().cost()),
                 LogField.of("status", call.status()),
                 LogField.of("ending", call.ending()),
                 LogField.of(
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GateActions.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GateActions.java
@@ -63,6 +63,7 @@
         log.info(
                 "dispatched",
                 request(dispatch.call()),
+                account(dispatch.call()),
                 LogField.of("attempt", dispatch.attempt()),
                 LogField.of("upstream", dispatch.upstream().identifier()),
                 LogField.of("waited-ms", dispatch.waited().toMillis()),
@@ -74,7 +75,17 @@
 
     private void refuse(GateAction.Refuse refuse) {
         metrics.count("refused", refuse.reason());
-        log.info("refused", request(refuse.call()), LogField.of("reason", refuse.reason()));
+        log.info(
+                "refused",
+                request(refuse.call()),
+                account(refuse.call()),
+                LogField.of("reason", refuse.reason()),
+                LogField.of("waited-ms", refuse.waited().toMillis()),
+                LogField.of("upstreams", refuse.room().usable()),
+                LogField.of("with-room", refuse.room().admitting()),
+                LogField.of("least-tokens-ahead", refuse.room().leastTokensAhead()),
+                LogField.of("gateways", refuse.room().gateways()),
+                LogField.of("heard", refuse.room().heard()));
         on(
                 refuse.call(),
                 call -> call.refuse(
@@ -99,6 +110,15 @@
                 callers.call(number).map(call -> call.description().request()).orElse("gone:" + number));
     }
 
+    private LogField account(long number) {
+        return LogField.of(
+                "account",
+                callers.call(number)
+                        .flatMap(call -> call.description().account())
+                        .map(Object::toString)
+                        .orElse(CallLog.NONE));
+    }
+
     private void on(long number, Consumer<CallerExchange> work) {
         callers.call(number).ifPresent(call -> call.run(() -> work.accept(call)));
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -74,6 +74,7 @@
                 GateState.start(settings.quotaWindow()),
                 actions,
                 clock,
+                metrics,
                 log);
         this.ticker = new Ticker(TICK, this::busy, () -> post(new GateEvent.Ticked()), log);
         this.entrance = new CallerListener(settings.callers(), worker, buffers, callers);
--- a/router/src/main/java/org/sassafrastrail/router/RouterDaemon.java
+++ b/router/src/main/java/org/sassafrastrail/router/RouterDaemon.java
@@ -104,6 +104,7 @@
                 start(clock),
                 new RouterActions(calls, dispatcher, links, platform, threads, reports, drained),
                 clock,
+                metrics,
                 log);
         HttpHandler callers = new CallerFrontEnd(
                 settings, Long.toString(incarnation.value(), Character.MAX_RADIX), calls, this::post, reports);
--- a/runtime/src/main/java/org/sassafrastrail/runtime/ControlLoop.java
+++ b/runtime/src/main/java/org/sassafrastrail/runtime/ControlLoop.java
@@ -1,6 +1,8 @@
 package org.sassafrastrail.runtime;
 
 import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 
@@ -17,12 +19,19 @@
  */
 public final class ControlLoop<S, E, A> implements Service {
 
+    /** Events that waited longer than this are logged. */
+    private static final Duration LATE = Duration.ofMillis(250);
+
+    private static final Duration BETWEEN_LATE_LINES = Duration.ofSeconds(1);
+
     private final String name;
     private final DecisionCore<S, E, A> core;
     private final ActionExecutor<A> executor;
     private final Clock clock;
+    private final Metrics metrics;
     private final EventLog log;
-    private final BlockingQueue<E> events = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Posted<E>> events = new LinkedBlockingQueue<>();
+    private Instant lastLateLine = Instant.MIN;
     private volatile S state;
     private volatile Thread thread;
 
@@ -34,18 +43,29 @@
      * @param initial the first state
      * @param executor carries out the actions
      * @param clock tells the time of events
-     * @param log logs events that a core could not handle
+     * @param metrics times how long events wait
+     * @param log logs events that a core could not handle, that waited long, and the end of the thread
      */
     public ControlLoop(
-            String name, DecisionCore<S, E, A> core, S initial, ActionExecutor<A> executor, Clock clock, EventLog log) {
+            String name,
+            DecisionCore<S, E, A> core,
+            S initial,
+            ActionExecutor<A> executor,
+            Clock clock,
+            Metrics metrics,
+            EventLog log) {
         this.name = name;
         this.core = core;
         this.state = initial;
         this.executor = executor;
         this.clock = clock;
+        this.metrics = metrics;
         this.log = log;
     }
 
+    /** An event and when it was posted. */
+    private record Posted<E>(E event, Instant at) {}
+
     @Override
     public void start() {
         thread = new Thread(this::run, name);
@@ -66,7 +86,7 @@
      * @param event the event
      */
     public void post(E event) {
-        events.add(event);
+        events.add(new Posted<>(event, clock.instant()));
     }
 
     /**
@@ -81,16 +101,35 @@
     private void run() {
         try {
             while (!Thread.currentThread().isInterrupted()) {
-                handle(events.take());
+                Posted<E> next = events.take();
+                Instant now = clock.instant();
+                noteLag(next, now);
+                handle(next.event(), now);
             }
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
+        } catch (Error fatal) {
+            log.error("control-thread-ended", fatal, LogField.of("events-waiting", events.size()));
+            throw fatal;
+        }
+    }
+
+    private void noteLag(Posted<E> next, Instant now) {
+        Duration lag = Duration.between(next.at(), now);
+        metrics.time("control.lag", lag.toNanos());
+        if (lag.compareTo(LATE) > 0 && now.isAfter(lastLateLine.plus(BETWEEN_LATE_LINES))) {
+            lastLateLine = now;
+            log.warn(
+                    "control-late",
+                    LogField.of("lag-ms", lag.toMillis()),
+                    LogField.of("events-waiting", events.size()),
+                    LogField.of("event-type", next.event().getClass().getSimpleName()));
         }
     }
 
-    private void handle(E event) {
+    private void handle(E event, Instant now) {
         try {
-            Transition<S, A> transition = core.handle(state, event, clock.instant());
+            Transition<S, A> transition = core.handle(state, event, now);
             state = transition.state();
             transition.actions().forEach(executor::carryOut);
         } catch (RuntimeException fault) {
--- a/sidecar/src/main/java/org/sassafrastrail/sidecar/SidecarDaemon.java
+++ b/sidecar/src/main/java/org/sassafrastrail/sidecar/SidecarDaemon.java
@@ -83,6 +83,7 @@
                 start(settings, clock),
                 new SidecarActions(dispatches, upstream, links, threads, metrics, log, drained),
                 clock,
+                metrics,
                 log);
         LoadPoller poller = new LoadPoller(settings, caller, this::post);
         SidecarFrontEnd pages = new SidecarFrontEnd(settings, () -> loop().state(), metrics);
