Send a backlog step by step, not by recursion: a long one overflowed the control thread's stack

Callers saw: every request to a gateway unanswered until its deadline, for good, while it said that it was ready. Cause: Scheduler.send called itself for each request that it sent. The StackOverflowError ended the control thread. So many wait at once where a gateway comes back under load and then learns of its upstreams. Now the steps are taken in a loop (Transition.whilePossible), which uses no more stack for many than for one.

--- a/decision/src/main/java/org/sassafrastrail/decision/Transition.java
+++ b/decision/src/main/java/org/sassafrastrail/decision/Transition.java
@@ -1,6 +1,7 @@
 package org.sassafrastrail.decision;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BiFunction;
 import java.util.function.Function;
 import java.util.stream.Stream;
@@ -67,7 +68,27 @@
      * @return both transitions as one
      */
     public Transition<S, A> and(Function<S, Transition<S, A>> step) {
-        Transition<S, A> next = step.apply(state);
+        return followedBy(step.apply(state));
+    }
+
+    /**
+     * Takes a step again and again, each from the state that the one before it left, until there is none. Uses no more
+     * of the stack for many steps than for one.
+     *
+     * @param step gives the transition that follows from the state, or empty if there is none
+     * @return all transitions as one
+     */
+    public Transition<S, A> whilePossible(Function<S, Optional<Transition<S, A>>> step) {
+        Transition<S, A> sofar = this;
+        Optional<Transition<S, A>> next = step.apply(state);
+        while (next.isPresent()) {
+            sofar = sofar.followedBy(next.get());
+            next = step.apply(sofar.state);
+        }
+        return sofar;
+    }
+
+    private Transition<S, A> followedBy(Transition<S, A> next) {
         return new Transition<>(next.state(), actions.plusAll(next.actions()));
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -35,17 +35,19 @@
      * one upstream only.
      */
     Transition<GateState, GateAction> send(GateState state, TargetName target, Instant now) {
+        return Transition.<GateState, GateAction>stay(state).whilePossible(next -> sendOne(next, target, now));
+    }
+
+    private Optional<Transition<GateState, GateAction>> sendOne(GateState state, TargetName target, Instant now) {
         if (state.waitingCalls().noneMatch(call -> call.target().equals(target))) {
-            return Transition.stay(state);
+            return Optional.empty();
         }
         Candidates candidates = candidates(state, target, now);
         Optional<Transition<GateState, GateAction>> repeated = state.waitingCalls()
                 .filter(call -> call.attempts() > 0 && call.target().equals(target))
                 .flatMap(call -> dispatch(state, call, candidates, WHOLE, now).stream())
                 .findFirst();
-        return repeated.or(() -> fresh(state, target, candidates, now))
-                .map(sent -> sent.and(next -> send(next, target, now)))
-                .orElseGet(() -> Transition.stay(state));
+        return repeated.or(() -> fresh(state, target, candidates, now));
     }
 
     private Optional<Transition<GateState, GateAction>> fresh(
