Let an Error cost one event or one run, and let a gateway whose control thread stands still say that it is not ready

Callers saw: a gateway that accepts connections, says that it is ready and never answers. Cause: ControlLoop and PeriodicTask caught RuntimeException only. Now a fault costs its event or run: the state is immutable, so it is as it was before. Evidence: ControlLoopTest and PeriodicTaskTest failed before (10 s without the next event or run) and pass now.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -36,6 +36,7 @@
     /** The platform asks every second and needs two misses; one second more lets callers' connections arrive. */
     private static final Duration ACCEPTING_WHILE_STOPPING = Duration.ofMillis(2700);
 
+    private static final Duration MOST_LAG = Duration.ofSeconds(2);
     private static final int BUFFER_BYTES = 16 * 1024;
 
     private final GatewaySettings settings;
@@ -100,10 +101,15 @@
             JsonPage.send(exchange, metrics.json());
             return;
         }
-        exchange.setStatusCode(state().ready() ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
+        exchange.setStatusCode(ready() ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
         exchange.endExchange();
     }
 
+    /** A gateway whose control thread stands still decides on nothing, whatever its state says. */
+    private boolean ready() {
+        return state().ready() && control.lag().compareTo(MOST_LAG) < 0;
+    }
+
     private GateState state() {
         return control.state();
     }
--- a/runtime/src/main/java/org/sassafrastrail/runtime/ControlLoop.java
+++ b/runtime/src/main/java/org/sassafrastrail/runtime/ControlLoop.java
@@ -44,7 +44,7 @@
      * @param executor carries out the actions
      * @param clock tells the time of events
      * @param metrics times how long events wait
-     * @param log logs events that a core could not handle, that waited long, and the end of the thread
+     * @param log logs events that a core could not handle, and that waited long
      */
     public ControlLoop(
             String name,
@@ -98,6 +98,16 @@
         return state;
     }
 
+    /**
+     * Returns for how long the oldest event waits, which grows without end if the thread stands still.
+     *
+     * @return the time, zero if no event waits
+     */
+    public Duration lag() {
+        Posted<E> oldest = events.peek();
+        return oldest == null ? Duration.ZERO : Duration.between(oldest.at(), clock.instant());
+    }
+
     private void run() {
         try {
             while (!Thread.currentThread().isInterrupted()) {
@@ -108,9 +118,6 @@
             }
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
-        } catch (Error fatal) {
-            log.error("control-thread-ended", fatal, LogField.of("events-waiting", events.size()));
-            throw fatal;
         }
     }
 
@@ -127,12 +134,13 @@
         }
     }
 
+    /** A fault costs its event only: the state is immutable, so it is as it was before. */
     private void handle(E event, Instant now) {
         try {
             Transition<S, A> transition = core.handle(state, event, now);
             state = transition.state();
             transition.actions().forEach(executor::carryOut);
-        } catch (RuntimeException fault) {
+        } catch (RuntimeException | Error fault) {
             log.error(
                     "control-fault",
                     fault,
--- a/runtime/src/main/java/org/sassafrastrail/runtime/PeriodicTask.java
+++ b/runtime/src/main/java/org/sassafrastrail/runtime/PeriodicTask.java
@@ -42,7 +42,7 @@
     private void run() {
         try {
             task.run();
-        } catch (RuntimeException fault) {
+        } catch (RuntimeException | Error fault) {
             log.error("periodic-task-fault", fault, LogField.of("task", name));
         }
     }
--- /dev/null
+++ b/runtime/src/test/java/org/sassafrastrail/runtime/ControlLoopTest.java
@@ -0,0 +1,79 @@
+package org.sassafrastrail.runtime;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sassafrastrail.decision.DecisionCore;
+import org.sassafrastrail.decision.Transition;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** What becomes of a daemon whose control thread meets an error. */
+class ControlLoopTest {
+
+    private static final long PATIENCE_SECONDS = 10;
+
+    private final CountDownLatch release = new CountDownLatch(1);
+    private final ControlLoop<Integer, Runnable, Integer> loop = loop();
+
+    private ControlLoop<Integer, Runnable, Integer> loop() {
+        DecisionCore<Integer, Runnable, Integer> core = (state, event, now) -> {
+            event.run();
+            return Transition.stay(state + 1);
+        };
+        ControlLoop<Integer, Runnable, Integer> started = new ControlLoop<>(
+                "control",
+                core,
+                0,
+                action -> {},
+                new SteadyClock(Clock.systemUTC()),
+                new Metrics(new MetricRegistry()),
+                new EventLog("test"));
+        started.start();
+        return started;
+    }
+
+    @AfterEach
+    void stop() {
+        release.countDown();
+        loop.stop();
+    }
+
+    /** Guards against RECOVER: the thread ended and the process went on without one. */
+    @Test
+    void anEventThatOverflowsTheStackCostsThatEventOnly() throws InterruptedException {
+        CountDownLatch handled = new CountDownLatch(1);
+        loop.post(() -> {
+            throw new StackOverflowError();
+        });
+        loop.post(handled::countDown);
+        assertThat(handled.await(PATIENCE_SECONDS, TimeUnit.SECONDS)).isTrue();
+    }
+
+    @Test
+    void aThreadThatStandsStillShowsInTheLag() throws InterruptedException {
+        assertThat(loop.lag()).isZero();
+        CountDownLatch held = new CountDownLatch(1);
+        loop.post(() -> {
+            held.countDown();
+            awaitRelease();
+        });
+        assertThat(held.await(PATIENCE_SECONDS, TimeUnit.SECONDS)).isTrue();
+        loop.post(() -> {});
+        TimeUnit.MILLISECONDS.sleep(20);
+        assertThat(loop.lag()).isGreaterThanOrEqualTo(Duration.ofMillis(20));
+    }
+
+    private void awaitRelease() {
+        try {
+            release.await();
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/sassafrastrail/runtime/PeriodicTaskTest.java
@@ -0,0 +1,32 @@
+package org.sassafrastrail.runtime;
+
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Tasks that run again and again. */
+class PeriodicTaskTest {
+
+    private static final long PATIENCE_SECONDS = 10;
+
+    /** Guards against RECOVER: an error ended a task for good without a line in the log. */
+    @Test
+    void anErrorInOneRunDoesNotEndTheTask() throws InterruptedException {
+        CountDownLatch runs = new CountDownLatch(3);
+        PeriodicTask task = new PeriodicTask(
+                "test",
+                Duration.ofMillis(1),
+                () -> {
+                    runs.countDown();
+                    throw new StackOverflowError();
+                },
+                new EventLog("test"));
+        task.start();
+        assertThat(runs.await(PATIENCE_SECONDS, TimeUnit.SECONDS)).isTrue();
+        task.stop();
+    }
+}
