Take in a peer's report at the cost of that report, not of all peers and all waiting requests

Callers saw: on a gateway that many callers came to, requests served seconds late or refused, so that an account whose callers all came there got far less than its share (FAIR), while engines were idle. Cause: a saturated control thread. Each report of a peer (10 a second from each of 21) added up all peers' loads anew, and then looked at all that waited; for each request the usage of its account was summed over all peers. Now sums over peers change by the difference of a report, usage elsewhere is one sum that fades as a whole, a report waits for the next tick (25 ms) before requests are sent, and an engine's rank needs no sorting.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/AccountUsage.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AccountUsage.java
@@ -42,6 +42,22 @@
                         .collect(Collectors.toMap(Map.Entry::getKey, entry -> new Used(entry.getValue(), now)))));
     }
 
+    AccountUsage plus(AccountUsage other, Instant now) {
+        return other.accounts.keySet().stream()
+                .reduce(this, (sum, account) -> sum.added(account, other.tokens(account, now), now), (a, b) -> b);
+    }
+
+    AccountUsage minus(AccountUsage other, Instant now) {
+        return other.accounts.keySet().stream()
+                .reduce(this, (sum, account) -> sum.added(account, -other.tokens(account, now), now), (a, b) -> b);
+    }
+
+    /** Accounts with less than a token are left out. */
+    private AccountUsage added(String account, double tokens, Instant now) {
+        double sum = tokens(account, now) + tokens;
+        return new AccountUsage(fading, sum < 1 ? accounts.minus(account) : accounts.plus(account, new Used(sum, now)));
+    }
+
     double tokens(String account, Instant now) {
         Used used = accounts.get(account);
         if (used == null) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/BeliefHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/BeliefHandler.java
@@ -77,11 +77,8 @@
     }
 
     Transition<GateState, GateAction> peerReported(GateState state, GateEvent.PeerReported event, Instant now) {
-        return scheduler.sendAll(
-                state.with(state.peers().reported(event.peer(), event.report()))
-                        .with(state.usage()
-                                .reported(event.peer(), event.report().usage(), now)),
-                now);
+        return Transition.stay(state.with(state.peers().reported(event.peer(), event.report()))
+                .with(state.usage().reported(event.peer(), event.report().usage(), now)));
     }
 
     Transition<GateState, GateAction> peerLost(GateState state, GateEvent.PeerLost event, Instant now) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
@@ -2,8 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -41,18 +40,37 @@
     }
 
     Peers reported(String peer, GatewayReport report) {
-        return with(reports.plus(peer, report));
+        return new Peers(registered, reports.plus(peer, report), loadsWith(peer, report), told, lastTold);
     }
 
     Peers lost(String peer) {
-        return with(reports.minus(peer));
+        return new Peers(registered, reports.minus(peer), loadsWith(peer, GatewayReport.EMPTY), told, lastTold);
     }
 
-    private Peers with(PMap<String, GatewayReport> next) {
-        Map<UpstreamIdentifier, UpstreamLoadElsewhere> sums = new HashMap<>();
-        next.values().forEach(report -> report.loads()
-                .forEach((name, load) -> sums.merge(name, load, UpstreamLoadElsewhere::plus)));
-        return new Peers(registered, next, HashTreePMap.from(sums), told, lastTold);
+    /** The sums with a peer's new report in place of its last one; the other peers' reports are not gone through. */
+    private PMap<UpstreamIdentifier, UpstreamLoadElsewhere> loadsWith(String peer, GatewayReport report) {
+        PMap<UpstreamIdentifier, UpstreamLoadElsewhere> before =
+                reports.getOrDefault(peer, GatewayReport.EMPTY).loads();
+        PMap<UpstreamIdentifier, UpstreamLoadElsewhere> after = report.loads();
+        return Stream.concat(
+                        before.keySet().stream(),
+                        after.keySet().stream().filter(upstream -> !before.containsKey(upstream)))
+                .filter(upstream -> !Objects.equals(before.get(upstream), after.get(upstream)))
+                .reduce(
+                        loads,
+                        (sums, upstream) -> changed(sums, upstream, before.get(upstream), after.get(upstream)),
+                        (one, other) -> other);
+    }
+
+    private static PMap<UpstreamIdentifier, UpstreamLoadElsewhere> changed(
+            PMap<UpstreamIdentifier, UpstreamLoadElsewhere> sums,
+            UpstreamIdentifier upstream,
+            UpstreamLoadElsewhere before,
+            UpstreamLoadElsewhere after) {
+        UpstreamLoadElsewhere sum = sums.getOrDefault(upstream, UpstreamLoadElsewhere.NONE)
+                .minus(before == null ? UpstreamLoadElsewhere.NONE : before)
+                .plus(after == null ? UpstreamLoadElsewhere.NONE : after);
+        return sum.equals(UpstreamLoadElsewhere.NONE) ? sums.minus(upstream) : sums.plus(upstream, sum);
     }
 
     Peers told(GatewayReport report, Instant now) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/PromptPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/PromptPlacement.java
@@ -3,7 +3,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.stream.IntStream;
 
 /**
  * Places a prompt where it will be read soonest and where its parts stay useful. Each session ranks the upstreams, the
@@ -17,14 +16,20 @@
 
     private static final double READ_AGAIN_ELSEWHERE = 4;
 
+    private static final Comparator<Hashed> BY_HASH = Comparator.comparingLong(Hashed::hash);
+
+    /** Of equal ones the first by hash, so that sessions spread. */
+    private static final Comparator<Weighed> LIGHTEST =
+            Comparator.comparingDouble(Weighed::weight).thenComparingLong(Weighed::hash);
+
     private final GateLimits limits;
 
     PromptPlacement(GateLimits limits) {
         this.limits = limits;
     }
 
-    /** A place with what speaks against it, in tokens. */
-    private record Weighed(Place place, double weight) {}
+    /** A place with what speaks against it, in tokens, and the hash of its upstream for the session. */
+    private record Weighed(Place place, double weight, long hash) {}
 
     /** An upstream with its hash for the session. */
     private record Hashed(Candidate candidate, long hash) {}
@@ -35,32 +40,42 @@
             return Optional.empty();
         }
         Prompt prompt = call.description().prompt();
-        List<Candidate> ranked = ranked(prompt, candidates);
-        return IntStream.range(0, ranked.size())
-                .mapToObj(rank -> weigh(prompt, ranked.get(rank), rank))
-                .min(Comparator.comparingDouble(Weighed::weight))
+        List<Hashed> hashed = hashed(prompt, candidates);
+        Optional<Hashed> first = hashed.stream().min(BY_HASH);
+        Optional<Hashed> second =
+                hashed.stream().filter(other -> other != first.get()).min(BY_HASH);
+        return hashed.stream()
+                .map(other -> weigh(prompt, other, rank(other, first, second)))
+                .min(LIGHTEST)
                 .map(Weighed::place)
                 .filter(place -> admits(place.candidate(), call, room));
     }
 
-    /** Orders the upstreams by a hash that every gateway computes alike. */
-    private static List<Candidate> ranked(Prompt prompt, List<Candidate> candidates) {
+    /** Hashes the upstreams for a session, at every gateway alike. */
+    private static List<Hashed> hashed(Prompt prompt, List<Candidate> candidates) {
         long session = Mixing.mix(prompt.session().map(PromptPart::identifier).orElse(""));
         return candidates.stream()
                 .map(candidate -> new Hashed(
                         candidate,
                         Mixing.mix(session, Mixing.mix(candidate.identifier().value()))))
-                .sorted(Comparator.comparingLong(Hashed::hash))
-                .map(Hashed::candidate)
                 .toList();
     }
 
-    private static Weighed weigh(Prompt prompt, Candidate candidate, int rank) {
+    /** The place of an upstream in the order of its hashes; all after the second are alike. */
+    private static int rank(Hashed hashed, Optional<Hashed> first, Optional<Hashed> second) {
+        if (hashed == first.orElse(null)) {
+            return 0;
+        }
+        return hashed == second.orElse(null) ? 1 : 2;
+    }
+
+    private static Weighed weigh(Prompt prompt, Hashed hashed, int rank) {
         int session = prompt.session().map(PromptPart::tokens).orElse(0);
         long own = Math.max(1, prompt.inputTokens() - prompt.sharedTokens());
         long toRead = rank == 0 ? own : own + session;
         double readAgain = rank == 0 ? 0 : session * (rank == 1 ? READ_AGAIN_AT_SECOND : READ_AGAIN_ELSEWHERE);
-        return new Weighed(new Place(candidate, toRead), candidate.tokensAhead() + own + readAgain);
+        Candidate candidate = hashed.candidate();
+        return new Weighed(new Place(candidate, toRead), candidate.tokensAhead() + own + readAgain, hashed.hash());
     }
 
     /** An idle engine takes any prompt; a busy one takes more only while the wait behind them fits into the aim. */
--- a/gate-core/src/main/java/org/sassafrastrail/gate/UpstreamLoadElsewhere.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/UpstreamLoadElsewhere.java
@@ -10,6 +10,10 @@
 
     static final UpstreamLoadElsewhere NONE = new UpstreamLoadElsewhere(0, 0);
 
+    UpstreamLoadElsewhere minus(UpstreamLoadElsewhere other) {
+        return new UpstreamLoadElsewhere(running - other.running, tokensToRead - other.tokensToRead);
+    }
+
     UpstreamLoadElsewhere plus(UpstreamLoadElsewhere other) {
         return new UpstreamLoadElsewhere(running + other.running, tokensToRead + other.tokensToRead);
     }
--- a/gate-core/src/test/java/org/sassafrastrail/gate/Gate.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/Gate.java
@@ -21,6 +21,7 @@
 
     static final TargetName MODEL = new TargetName("model");
     static final TargetName DESK = new TargetName("desk");
+    static final Duration TICK = Duration.ofMillis(25);
     static final GateLimits LIMITS = new GateLimits(
             100,
             0.5,
--- /dev/null
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/ReportCostTest.java
@@ -0,0 +1,80 @@
+package org.sassafrastrail.gate;
+
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+
+import org.junit.jupiter.api.Test;
+import org.pcollections.HashTreePMap;
+import org.sassafrastrail.model.TargetName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** What the reports of the other gateways cost the control thread. */
+class ReportCostTest {
+
+    private static final int PEERS = 21;
+    private static final int ENGINES = 28;
+    private static final int ACCOUNTS = 30;
+    private static final int WAITING = 60;
+    private static final int REPORTS_A_SECOND = 10;
+    private static final int WARM_UP_SECONDS = 20;
+    private static final int SECONDS = 10;
+
+    /** The share of a core that a node may spend on control, of the users' target. */
+    private static final double MOST_SHARE_OF_CORE = 0.01;
+
+    private final Gate gate = new Gate();
+
+    /** Guards against FAIR: reports took so much of a small VM that its callers' requests were served late or never. */
+    @Test
+    void theReportsOfManyPeersTakeAHundredthOfACoreWhileRequestsWait() {
+        gate.register(IntStream.range(0, ENGINES)
+                .mapToObj(engine -> Gate.upstream("engine-" + engine, Gate.MODEL))
+                .toArray(Upstream[]::new));
+        IntStream.range(0, PEERS).forEach(peer -> gate.handle(new GateEvent.PeerLinked("peer-" + peer)));
+        IntStream.range(0, PEERS).forEach(peer -> gate.handle(report(peer, 0)));
+        Route tell = Gate.route("tell", Gate.MODEL, false, true, 1);
+        LongStream.range(0, WAITING)
+                .forEach(number -> gate.arrive(
+                        number, tell, Gate.prompt("session-" + number, 3780, 9000), "account-" + number % ACCOUNTS));
+        assertThat(gate.state().waiting()).hasSize(WAITING);
+        takeReports(WARM_UP_SECONDS);
+        Duration took = processorTime(() -> takeReports(SECONDS));
+        assertThat((double) took.toNanos() / Duration.ofSeconds(SECONDS).toNanos())
+                .isLessThan(MOST_SHARE_OF_CORE);
+        assertThat(gate.state().waiting()).hasSize(WAITING);
+    }
+
+    private void takeReports(int seconds) {
+        IntStream.range(0, seconds * REPORTS_A_SECOND)
+                .forEach(round -> IntStream.range(0, PEERS).forEach(peer -> gate.handle(report(peer, round))));
+    }
+
+    /** Every peer has more at every engine than leaves room for others. */
+    private static GateEvent report(int peer, int round) {
+        Map<UpstreamIdentifier, UpstreamLoadElsewhere> loads = IntStream.range(0, ENGINES)
+                .boxed()
+                .collect(Collectors.toMap(
+                        engine -> new UpstreamIdentifier("engine-" + engine),
+                        engine -> new UpstreamLoadElsewhere(3 + round % 2, 5000 + 10L * round % 7)));
+        Map<String, Long> usage = IntStream.range(0, ACCOUNTS)
+                .boxed()
+                .collect(Collectors.toMap(account -> "account-" + account, account -> 1000L * account + round));
+        return new GateEvent.PeerReported(
+                "peer-" + peer,
+                new GatewayReport(
+                        HashTreePMap.from(loads),
+                        HashTreePMap.from(usage),
+                        HashTreePMap.<TargetName, String>empty().plus(Gate.MODEL, "account-" + peer)));
+    }
+
+    private static Duration processorTime(Runnable work) {
+        long before = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+        work.run();
+        return Duration.ofNanos(ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - before);
+    }
+}
