Encode a report once for all peers

Cause: each link's writer encoded the same report anew, 210 times a second on a fleet of 22 gateways. Now PeerLinks' codec remembers the last encoding. Not measured by itself.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -33,6 +33,7 @@
 import org.sassafrastrail.wire.LinkServer;
 import org.sassafrastrail.wire.LinkSettings;
 import org.sassafrastrail.wire.MessagePackCodec;
+import org.sassafrastrail.wire.RepeatingCodec;
 
 /** The links to the other gateways: what each has at upstreams, and copies of tables while the store is away. */
 final class PeerLinks implements Service, PeerCopies, LinkListener {
@@ -59,8 +60,8 @@
         this.events = events;
         this.log = log;
         Hello greeting = new Hello(Hello.PROTOCOL, NO_KEY, new NodeName(settings.node()), life, Optional.empty());
-        this.linkSettings =
-                new LinkSettings(() -> greeting, new MessagePackCodec(), this, metrics, log, CONNECT_PATIENCE);
+        this.linkSettings = new LinkSettings(
+                () -> greeting, new RepeatingCodec(new MessagePackCodec()), this, metrics, log, CONNECT_PATIENCE);
         HostAndPort own = HostAndPort.parse(settings.links());
         this.server = new LinkServer(own.host(), own.port(), linkSettings);
     }
--- /dev/null
+++ b/wire/src/test/java/org/sassafrastrail/wire/RepeatingCodecTest.java
@@ -0,0 +1,35 @@
+package org.sassafrastrail.wire;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.sassafrastrail.messages.LoadReport;
+import org.sassafrastrail.messages.Message;
+import org.sassafrastrail.messages.UpstreamLoad;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** One encoding for many links. */
+class RepeatingCodecTest {
+
+    private final RepeatingCodec codec = new RepeatingCodec(new MessagePackCodec());
+
+    private static Message report(int running) {
+        return new LoadReport(List.of(new UpstreamLoad("engine", running, 10)), List.of(), List.of());
+    }
+
+    /** Guards against FAIR: a report was encoded anew for each of twenty peers, on VMs with a quarter of a core. */
+    @Test
+    void aMessageForManyLinksIsEncodedOnce() {
+        Message report = report(1);
+        byte[] first = codec.encode(report);
+        assertThat(codec.encode(report)).isSameAs(first);
+    }
+
+    @Test
+    void eachMessageGetsItsOwnEncoding() {
+        codec.encode(report(1));
+        assertThat(codec.decode(codec.encode(report(2)))).isEqualTo(new Decoding.Decoded(report(2)));
+        assertThat(codec.decode(codec.encode(report(1)))).isEqualTo(new Decoding.Decoded(report(1)));
+    }
+}
