Refuse at the door what this process would come to too late

Cause: a gateway under more load than its share of a core carries took in every request, held it 0.4 of its aim and refused it, and the caller came back. The queue grew on the one traffic thread, where nothing measured it: engines' first events were read 1 to 4 s late, and the tokens that this gateway told its peers to be unread kept the engines looking full for all of them. Now the lag of the traffic thread is measured by a task that waits in its queue, and a request that would wait longer than it may be held is refused before its body is read.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -38,6 +38,7 @@
     private final Supplier<GateState> state;
     private final Consumer<GateEvent> events;
     private final CallRecorder recorder;
+    private final Admission admission;
     private final Clock clock;
     private final ByteBufferPool buffers;
     private final AtomicLong numbers = new AtomicLong();
@@ -51,12 +52,14 @@
             Supplier<GateState> state,
             Consumer<GateEvent> events,
             CallRecorder recorder,
+            Admission admission,
             Clock clock,
             ByteBufferPool buffers) {
         this.protocol = protocol;
         this.state = state;
         this.events = events;
         this.recorder = recorder;
+        this.admission = admission;
         this.clock = clock;
         this.buffers = buffers;
     }
@@ -92,6 +95,8 @@
             refuse(exchange, request, StatusCodes.REQUEST_ENTITY_TOO_LARGE, RefusalReason.BODY_TOO_LARGE);
         } else if (bodyBytes.get() > MOST_BODY_BYTES_AT_ONCE) {
             refuse(exchange, request, StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.ACCOUNT_QUEUE_FULL);
+        } else if (!admission.admits(route.get())) {
+            refuse(exchange, request, StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.ROUTER_OVERLOADED);
         } else {
             CallDescription description = describe(head, route.get(), account);
             readBody(exchange, number, description, table.largestBodyBytes());
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -47,6 +47,7 @@
     private final ControlLoop<GateState, GateEvent, GateAction> control;
     private final Ticker ticker;
     private final XnioWorker worker;
+    private final ThreadLag traffic;
     private final CallerFrontEnd callers;
     private final CallerListener entrance;
     private final CallerListener pages;
@@ -66,7 +67,15 @@
         this.surroundings = surroundings;
         DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
         this.worker = worker();
-        this.callers = new CallerFrontEnd(protocol, this::state, this::post, new CallLog(metrics, log), clock, buffers);
+        this.traffic = new ThreadLag(worker.getIoThread(), clock);
+        this.callers = new CallerFrontEnd(
+                protocol,
+                this::state,
+                this::post,
+                new CallLog(metrics, log),
+                new PromptAdmission(this::behind, settings.limits().mostHeldShareOfAim()),
+                clock,
+                buffers);
         this.peers = new PeerLinks(settings, new Incarnation(clock.millis()), this::post, metrics, log);
         GateActions actions = new GateActions(callers, peers::tell, drained::countDown, metrics, log);
         this.control = new ControlLoop<>(
@@ -77,7 +86,8 @@
                 clock,
                 metrics,
                 log);
-        this.ticker = new Ticker(TICK, this::busy, () -> post(new GateEvent.Ticked()), log);
+        this.ticker = new Ticker(TICK, this::busy, this::tick, log);
+        metrics.gauge("traffic-lag-ms", () -> traffic.lag().toMillis());
         this.entrance = new CallerListener(settings.callers(), worker, buffers, callers);
         this.pages = new CallerListener(settings.readiness(), worker, buffers, this::page);
     }
@@ -110,6 +120,17 @@
         return state().ready() && control.lag().compareTo(MOST_LAG) < 0;
     }
 
+    private void tick() {
+        traffic.probe();
+        post(new GateEvent.Ticked());
+    }
+
+    /** How far this process is behind its callers: the longer of its threads' lags. */
+    private Duration behind() {
+        Duration control = this.control.lag();
+        return control.compareTo(traffic.lag()) > 0 ? control : traffic.lag();
+    }
+
     private GateState state() {
         return control.state();
     }
--- /dev/null
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PromptAdmission.java
@@ -0,0 +1,23 @@
+package org.sassafrastrail.gateway;
+
+import java.time.Duration;
+import java.util.function.Supplier;
+
+import org.sassafrastrail.gate.Route;
+
+/** Admits a request if this process comes to it within the time that the request may be held. */
+final class PromptAdmission implements Admission {
+
+    private final Supplier<Duration> behind;
+    private final double mostHeldShareOfAim;
+
+    PromptAdmission(Supplier<Duration> behind, double mostHeldShareOfAim) {
+        this.behind = behind;
+        this.mostHeldShareOfAim = mostHeldShareOfAim;
+    }
+
+    @Override
+    public boolean admits(Route route) {
+        return behind.get().toNanos() <= route.aim().toNanos() * mostHeldShareOfAim;
+    }
+}
--- a/model/src/main/java/org/sassafrastrail/model/RefusalReason.java
+++ b/model/src/main/java/org/sassafrastrail/model/RefusalReason.java
@@ -16,6 +16,8 @@
     ACCOUNT_QUEUE_FULL,
     /** The request waited until its deadline and no upstream took it. */
     DEADLINE_EXCEEDED,
+    /** The router's own threads are further behind than the request may wait. */
+    ROUTER_OVERLOADED,
     /** The router is shutting down and takes no new request. */
     ROUTER_STOPPING,
     /** Another request holds the same idempotency key. */
