Share by the max-min level of what is given out, not by whose turn was told a tenth of a second ago

Callers saw: an account got less than half of its share while another that asked for many times its usual was served (FAIR). Cause, beside the time on the processor: an account left room to others only while a peer said that somebody who got less waits there just then. What was said was 100 ms old and about one account a peer; twenty gateways acted on it at once. And what an account had got counted half after a whole quota window, so one that had been hot was still kept back seconds after it had gone back to its usual. Now gateways tell each other what accounts asked as well as what they got. From both follows the level up to which all could have got the same out of what was given out; an account above it may use the less of the engines' room the further above it is, 0.4 at least, so that engines do not fall idle. Tokens count a sixteenth after a quota window. The messages about turns are gone. There are no special cases: where all get what they ask, the level is infinite. A control core takes a report in with one pass over that report. Tests of the old mechanism (whileAnAccountThatGotLessWaitsAtAnotherGateway..., theOthersHearWhoseTurnItIsHere) went with it; in their place stand anAccountAboveTheFairLevel..., whileAllGetWhatTheyAskFor..., theOthersHearWhatAccountsAskedAndGot and theOthersHearOfARequestThatFindsNoRoom.

--- /dev/null
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AccountShares.java
@@ -0,0 +1,115 @@
+package org.sassafrastrail.gate;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * What client accounts asked and got lately over the fleet, and the level up to which all of them could have got the
+ * same: the max-min fair share of what was given out.
+ *
+ * @param here what they asked and got at this gateway
+ * @param elsewhere what they asked and got at all others
+ * @param reports what each other gateway said last
+ * @param level the level in tokens, infinite while all get what they ask for
+ */
+record AccountShares(AccountLedger here, AccountLedger elsewhere, PMap<String, Report> reports, double level) {
+
+    /** What was got a quota window ago counts a sixteenth. */
+    private static final int HALVES_IN_WINDOW = 4;
+
+    /** Accounts this close to the level, as a share and in tokens, are at it. */
+    private static final double SAME_FACTOR = 1.25;
+
+    private static final double SAME_TOKENS = 5_000;
+
+    private static final AccountTokens NOTHING = new AccountTokens(0, 0);
+
+    /** What a gateway said of accounts, and when. */
+    record Report(PMap<String, AccountTokens> accounts, Instant at) {
+
+        AccountTokens of(String account) {
+            return accounts.getOrDefault(account, NOTHING);
+        }
+    }
+
+    static AccountShares over(Duration quotaWindow) {
+        AccountLedger nothing = AccountLedger.empty(quotaWindow.dividedBy(HALVES_IN_WINDOW));
+        return new AccountShares(nothing, nothing, HashTreePMap.empty(), Double.POSITIVE_INFINITY);
+    }
+
+    AccountShares asked(String account, long tokens, Instant now) {
+        return new AccountShares(here.plus(account, tokens, 0, now), elsewhere, reports, level);
+    }
+
+    AccountShares got(String account, long tokens, Instant now) {
+        return new AccountShares(here.plus(account, 0, tokens, now), elsewhere, reports, level);
+    }
+
+    /** Takes a gateway's report in place of its last one; those of the others are not gone through. */
+    AccountShares reported(String peer, PMap<String, AccountTokens> accounts, Instant now) {
+        Report before = reports.getOrDefault(peer, new Report(HashTreePMap.empty(), now));
+        Report after = new Report(accounts, now);
+        double left = FadingTokens.left(before.at(), now, elsewhere.halfLife());
+        Stream<String> either = Stream.concat(
+                before.accounts().keySet().stream(),
+                accounts.keySet().stream().filter(account -> !before.accounts().containsKey(account)));
+        AccountLedger sums = either.reduce(
+                elsewhere,
+                (ledger, account) -> ledger.plus(
+                        account,
+                        after.of(account).asked() - before.of(account).asked() * left,
+                        after.of(account).got() - before.of(account).got() * left,
+                        now),
+                (one, other) -> other);
+        return new AccountShares(here, sums, reports.plus(peer, after), level);
+    }
+
+    /** What accounts asked and got here, as it counts now, for the other gateways. */
+    PMap<String, AccountTokens> told(Instant now) {
+        Map<String, AccountTokens> tokens = new HashMap<>();
+        here.accounts().keySet().forEach(account -> tokens.put(account, told(here.of(account, now))));
+        return HashTreePMap.from(tokens);
+    }
+
+    private static AccountTokens told(FadingTokens tokens) {
+        return new AccountTokens(Math.round(tokens.asked()), Math.round(tokens.got()));
+    }
+
+    /** Finds the level anew. */
+    AccountShares levelled(Instant now) {
+        Set<String> accounts = here.accounts().plusAll(elsewhere.accounts()).keySet();
+        List<FadingTokens> tokens =
+                accounts.stream().map(account -> fleet(account, now)).toList();
+        double total = tokens.stream().mapToDouble(FadingTokens::got).sum();
+        List<Double> claims = tokens.stream().map(AccountShares::claim).toList();
+        return new AccountShares(here, elsewhere, reports, MaxMinLevel.of(claims, total));
+    }
+
+    private FadingTokens fleet(String account, Instant now) {
+        FadingTokens others = elsewhere.of(account, now);
+        return here.of(account, now).plus(others.asked(), others.got());
+    }
+
+    /** A gateway that is not heard any more may have said what an account got and not yet what it asked. */
+    private static double claim(FadingTokens tokens) {
+        return Math.max(tokens.asked(), tokens.got());
+    }
+
+    /** What an account got, over the fleet. */
+    double tokens(String account, Instant now) {
+        return fleet(account, now).got();
+    }
+
+    /** How far an account that got these tokens is above the level, 1 at most if it is not. */
+    double aboveLevel(double tokens) {
+        return tokens / (level * SAME_FACTOR + SAME_TOKENS);
+    }
+}
--- a/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
@@ -21,8 +21,10 @@
         CallDescription description = event.description();
         WeightedTarget target = description.route().target((int) Mixing.mix(description.request()));
         Call call = Call.arrived(event.call(), description, target.target(), now);
-        GateState counted =
-                state.with(target.target(), state.budget(target.target()).request(now));
+        GateState counted = state.with(
+                        target.target(), state.budget(target.target()).request(now))
+                .with(state.shares()
+                        .asked(Turns.account(call), description.prompt().cost(), now));
         return scheduler.sendArrived(counted.with(call), call, now);
     }
 
--- /dev/null
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/FadingTokens.java
@@ -0,0 +1,38 @@
+package org.sassafrastrail.gate;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * Tokens that a client account asked and got, which fade with time.
+ *
+ * @param asked the tokens that its requests asked for, as they counted at the moment
+ * @param got the tokens of its requests that were sent to upstreams, as they counted at the moment
+ * @param at the moment
+ */
+record FadingTokens(double asked, double got, Instant at) {
+
+    static FadingTokens none(Instant now) {
+        return new FadingTokens(0, 0, now);
+    }
+
+    /** The tokens as they count at a later moment. */
+    FadingTokens at(Instant now, Duration halfLife) {
+        double left = left(at, now, halfLife);
+        return new FadingTokens(asked * left, got * left, now);
+    }
+
+    /** The share that is left at a moment of what counted at an earlier one. */
+    static double left(Instant from, Instant now, Duration halfLife) {
+        double halves = (double) Duration.between(from, now).toNanos() / halfLife.toNanos();
+        return halves <= 0 ? 1 : Math.pow(2, -halves);
+    }
+
+    FadingTokens plus(double moreAsked, double moreGot) {
+        return new FadingTokens(asked + moreAsked, got + moreGot, at);
+    }
+
+    boolean isNothing() {
+        return asked < 1 && got < 1;
+    }
+}
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GateLimits.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateLimits.java
@@ -7,7 +7,7 @@
  *
  * @param readTokensPerMillisecond how fast an engine reads prompts
  * @param mostWaitShareOfAim how much of its aim a request may spend, at the estimate, behind other prompts at an engine
- * @param laterTurnShare the share of that wait open to requests while an account that got less waits at some gateway
+ * @param leastShareOfRoom the share of that wait that is open to every account, however far it is above the fair level
  * @param turnsLookedAt how many waiting requests are looked at for one that an upstream has room for
  * @param mostHeldShareOfAim how much of its aim a request may wait here before it is refused
  * @param comeBackAfter what refused callers are told to wait
@@ -24,7 +24,7 @@
 public record GateLimits(
         double readTokensPerMillisecond,
         double mostWaitShareOfAim,
-        double laterTurnShare,
+        double leastShareOfRoom,
         int turnsLookedAt,
         double mostHeldShareOfAim,
         Duration comeBackAfter,
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GateState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GateState.java
@@ -22,7 +22,7 @@
  * @param waiting the requests that wait for an attempt, oldest first
  * @param domainsOut the failure domains that are out of service
  * @param peers the other gateways
- * @param usage what each client account got lately, here and at each other gateway
+ * @param shares what each client account asked and got lately, here and at the other gateways
  * @param budgets the repeats of each target
  * @param stoppingSince since when the gateway is stopping, empty if it is not
  */
@@ -33,7 +33,7 @@
         PSet<Long> waiting,
         PSet<FailureDomainName> domainsOut,
         Peers peers,
-        FleetUsage usage,
+        AccountShares shares,
         PMap<TargetName, RepeatBudget> budgets,
         Optional<Instant> stoppingSince) {
 
@@ -51,7 +51,7 @@
                 OrderedPSet.empty(),
                 HashTreePSet.empty(),
                 Peers.NONE,
-                FleetUsage.fadingIn(quotaWindow),
+                AccountShares.over(quotaWindow),
                 HashTreePMap.empty(),
                 Optional.empty());
     }
@@ -90,11 +90,11 @@
 
     GateState with(RouteTable next) {
         return new GateState(
-                Optional.of(next), upstreams, calls, waiting, domainsOut, peers, usage, budgets, stoppingSince);
+                Optional.of(next), upstreams, calls, waiting, domainsOut, peers, shares, budgets, stoppingSince);
     }
 
     GateState withUpstreams(PMap<UpstreamIdentifier, UpstreamState> next) {
-        return new GateState(table, next, calls, waiting, domainsOut, peers, usage, budgets, stoppingSince);
+        return new GateState(table, next, calls, waiting, domainsOut, peers, shares, budgets, stoppingSince);
     }
 
     GateState with(UpstreamState next) {
@@ -113,28 +113,28 @@
 
     private GateState withCalls(PMap<Long, Call> nextCalls, PSet<Long> nextWaiting) {
         return new GateState(
-                table, upstreams, nextCalls, nextWaiting, domainsOut, peers, usage, budgets, stoppingSince);
+                table, upstreams, nextCalls, nextWaiting, domainsOut, peers, shares, budgets, stoppingSince);
     }
 
     GateState withDomainsOut(PSet<FailureDomainName> next) {
-        return new GateState(table, upstreams, calls, waiting, next, peers, usage, budgets, stoppingSince);
+        return new GateState(table, upstreams, calls, waiting, next, peers, shares, budgets, stoppingSince);
     }
 
     GateState with(Peers next) {
-        return new GateState(table, upstreams, calls, waiting, domainsOut, next, usage, budgets, stoppingSince);
+        return new GateState(table, upstreams, calls, waiting, domainsOut, next, shares, budgets, stoppingSince);
     }
 
-    GateState with(FleetUsage next) {
+    GateState with(AccountShares next) {
         return new GateState(table, upstreams, calls, waiting, domainsOut, peers, next, budgets, stoppingSince);
     }
 
     GateState with(TargetName target, RepeatBudget next) {
         return new GateState(
-                table, upstreams, calls, waiting, domainsOut, peers, usage, budgets.plus(target, next), stoppingSince);
+                table, upstreams, calls, waiting, domainsOut, peers, shares, budgets.plus(target, next), stoppingSince);
     }
 
     GateState stopping(Instant now) {
-        return new GateState(table, upstreams, calls, waiting, domainsOut, peers, usage, budgets, Optional.of(now));
+        return new GateState(table, upstreams, calls, waiting, domainsOut, peers, shares, budgets, Optional.of(now));
     }
 
     RepeatBudget budget(TargetName target) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
@@ -2,13 +2,12 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Objects;
-import java.util.Optional;
-import java.util.stream.Stream;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.Map;
 
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
-import org.sassafrastrail.model.TargetName;
 
 /**
  * The other gateways.
@@ -22,12 +21,11 @@
 record Peers(
         int registered,
         PMap<String, GatewayReport> reports,
-        PMap<UpstreamIdentifier, UpstreamLoadElsewhere> loads,
+        Map<UpstreamIdentifier, UpstreamLoadElsewhere> loads,
         GatewayReport told,
         Instant lastTold) {
 
-    static final Peers NONE =
-            new Peers(1, HashTreePMap.empty(), HashTreePMap.empty(), GatewayReport.EMPTY, Instant.MIN);
+    static final Peers NONE = new Peers(1, HashTreePMap.empty(), Map.of(), GatewayReport.EMPTY, Instant.MIN);
 
     Peers counted(int gateways) {
         return new Peers(Math.max(1, gateways), reports, loads, told, lastTold);
@@ -48,29 +46,14 @@
     }
 
     /** The sums with a peer's new report in place of its last one; the other peers' reports are not gone through. */
-    private PMap<UpstreamIdentifier, UpstreamLoadElsewhere> loadsWith(String peer, GatewayReport report) {
-        PMap<UpstreamIdentifier, UpstreamLoadElsewhere> before =
-                reports.getOrDefault(peer, GatewayReport.EMPTY).loads();
-        PMap<UpstreamIdentifier, UpstreamLoadElsewhere> after = report.loads();
-        return Stream.concat(
-                        before.keySet().stream(),
-                        after.keySet().stream().filter(upstream -> !before.containsKey(upstream)))
-                .filter(upstream -> !Objects.equals(before.get(upstream), after.get(upstream)))
-                .reduce(
-                        loads,
-                        (sums, upstream) -> changed(sums, upstream, before.get(upstream), after.get(upstream)),
-                        (one, other) -> other);
-    }
-
-    private static PMap<UpstreamIdentifier, UpstreamLoadElsewhere> changed(
-            PMap<UpstreamIdentifier, UpstreamLoadElsewhere> sums,
-            UpstreamIdentifier upstream,
-            UpstreamLoadElsewhere before,
-            UpstreamLoadElsewhere after) {
-        UpstreamLoadElsewhere sum = sums.getOrDefault(upstream, UpstreamLoadElsewhere.NONE)
-                .minus(before == null ? UpstreamLoadElsewhere.NONE : before)
-                .plus(after == null ? UpstreamLoadElsewhere.NONE : after);
-        return sum.equals(UpstreamLoadElsewhere.NONE) ? sums.minus(upstream) : sums.plus(upstream, sum);
+    private Map<UpstreamIdentifier, UpstreamLoadElsewhere> loadsWith(String peer, GatewayReport report) {
+        Map<UpstreamIdentifier, UpstreamLoadElsewhere> sums = new HashMap<>(loads);
+        reports.getOrDefault(peer, GatewayReport.EMPTY)
+                .loads()
+                .forEach((upstream, load) -> sums.computeIfPresent(upstream, (name, sum) -> sum.minus(load)));
+        report.loads().forEach((upstream, load) -> sums.merge(upstream, load, UpstreamLoadElsewhere::plus));
+        sums.values().removeIf(UpstreamLoadElsewhere.NONE::equals);
+        return Collections.unmodifiableMap(sums);
     }
 
     Peers told(GatewayReport report, Instant now) {
@@ -100,10 +83,4 @@
     UpstreamLoadElsewhere load(UpstreamIdentifier upstream) {
         return loads.getOrDefault(upstream, UpstreamLoadElsewhere.NONE);
     }
-
-    /** The accounts whose turn it is at the other gateways. */
-    Stream<String> turns(TargetName target) {
-        return reports.values().stream()
-                .flatMap(report -> Optional.ofNullable(report.turns().get(target)).stream());
-    }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -52,24 +52,22 @@
 
     private Optional<Transition<GateState, GateAction>> fresh(
             GateState state, TargetName target, Candidates candidates, Instant now) {
-        Turns turns = Turns.of(state, target, now);
-        return turns.inOrder()
+        return Turns.inOrder(state, target, now)
                 .limit(limits.turnsLookedAt())
-                .flatMap(turn -> dispatch(state, turn.call(), candidates, share(turns, turn), now).stream())
+                .flatMap(turn -> dispatch(state, turn.call(), candidates, share(turn), now).stream())
                 .findFirst();
     }
 
     /** Sends a request that has just arrived, if it finds a place. Nothing changed for the others that wait. */
     Transition<GateState, GateAction> sendArrived(GateState state, Call call, Instant now) {
-        Turns turns = Turns.of(state, call.target(), now);
-        double share = share(turns, turns.of(call));
+        double share = share(Turns.of(state, call, now));
         return dispatch(state, call, candidates(state, call.target(), now), share, now)
                 .orElseGet(() -> Transition.stay(state));
     }
 
-    /** While an account that got less waits anywhere, the others leave it room. */
-    private double share(Turns turns, Turns.Turn turn) {
-        return turns.othersComeFirst(turn) ? limits.laterTurnShare() : WHOLE;
+    /** An account above the fair level leaves room to the others, the more so the further above it is. */
+    private double share(Turns.Turn turn) {
+        return turn.aboveLevel() <= 1 ? WHOLE : Math.max(limits.leastShareOfRoom(), 1 / turn.aboveLevel());
     }
 
     private Optional<Transition<GateState, GateAction>> dispatch(
@@ -151,9 +149,8 @@
                 new Attempt(call.attempts() + 1, place.candidate().upstream().upstream(), place.tokensToRead(), true);
         Call sent = call.sentTo(attempt);
         GateState charged = call.attempts() == 0
-                ? state.with(state.usage()
-                        .charged(
-                                Turns.account(call), call.description().prompt().cost(), now))
+                ? state.with(state.shares()
+                        .got(Turns.account(call), call.description().prompt().cost(), now))
                 : state.with(call.target(), state.budget(call.target()).repeat(now));
         GateAction action = new GateAction.Dispatch(
                 call.number(),
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TimeHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TimeHandler.java
@@ -23,7 +23,7 @@
 
     Transition<GateState, GateAction> ticked(GateState state, GateEvent.Ticked event, Instant now) {
         return scheduler
-                .sendAll(state, now)
+                .sendAll(state.with(state.shares().levelled(now)), now)
                 .and(next -> calls.expire(next, now))
                 .and(next -> comeBack(next, now))
                 .and(next -> tellPeers(next, now))
@@ -35,7 +35,7 @@
             return Transition.stay(state);
         }
         GatewayReport report = report(state, now);
-        return !report.saysTheSameAs(state.peers().told())
+        return report.isNewsAfter(state.peers().told())
                 ? Transition.<GateState, GateAction>stay(
                                 state.with(state.peers().told(report, now)))
                         .then(new GateAction.TellPeers(report))
@@ -48,7 +48,7 @@
                 .collect(Collectors.toMap(
                         upstream -> upstream.upstream().identifier(),
                         upstream -> new UpstreamLoadElsewhere(upstream.running(), upstream.tokensAhead()))));
-        return new GatewayReport(loads, state.usage().here().now(now), Turns.byTarget(state, now));
+        return new GatewayReport(loads, state.shares().told(now));
     }
 
     private Transition<GateState, GateAction> comeBack(GateState state, Instant now) {
--- a/gate-core/src/test/java/org/sassafrastrail/gate/Gate.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/Gate.java
@@ -138,7 +138,6 @@
                 new GatewayReport(
                         HashTreePMap.singleton(
                                 new UpstreamIdentifier(upstream), new UpstreamLoadElsewhere(running, tokensToRead)),
-                        HashTreePMap.empty(),
                         HashTreePMap.empty())));
     }
 
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GateCoreTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GateCoreTest.java
@@ -83,7 +83,8 @@
         gate.handle(new GateEvent.PeerReported(
                 "peer",
                 new GatewayReport(
-                        HashTreePMap.empty(), HashTreePMap.singleton("elsewhere", 900_000L), HashTreePMap.empty())));
+                        HashTreePMap.empty(),
+                        HashTreePMap.singleton("elsewhere", new AccountTokens(900_000, 900_000)))));
         gate.arrive(3, TELL, prompt, "elsewhere");
         gate.arrive(4, TELL, prompt, "here");
         List<GateAction> actions = gate.handle(new GateEvent.AnswerBegan(1, 1));
@@ -91,38 +92,57 @@
                 .isEqualTo(4);
     }
 
+    /** Guards against FAIR: an account that asked for many times its share left others less than half of theirs. */
     @Test
-    void whileAnAccountThatGotLessWaitsAtAnotherGatewayTheOthersLeaveItRoom() {
+    void anAccountAboveTheFairLevelLeavesRoomToTheOthers() {
         gate.register(Gate.upstream("one", Gate.MODEL));
-        gate.handle(new GateEvent.PeerLinked("peer"));
-        Prompt prompt = Gate.prompt("session", 3000, 25_000);
-        gate.arrive(1, TELL, prompt, "greedy");
-        turnElsewhere("modest", 0);
-        assertThat(gate.arrive(2, TELL, prompt, "greedy")).isEmpty();
-        assertThat(Gate.sentTo(gate.arrive(3, TELL, prompt, "new"))).isPresent();
-        gate.handle(new GateEvent.AnswerBegan(3, 1));
-        turnElsewhere("greedier", 900_000);
-        assertThat(Gate.sentTo(gate.pass(Gate.TICK))).isPresent();
+        AccountTokens modest = new AccountTokens(3_000_000, 100_000);
+        accountsElsewhere(Map.of(
+                "greedy", new AccountTokens(9_000_000, 9_000_000), "modest", modest, "small", modest, "mild", modest));
+        gate.elsewhere("other", "one", 1, 15_000);
+        gate.pass(Gate.TICK);
+        Prompt prompt = Gate.prompt("session", 3000, 4000);
+        assertThat(gate.arrive(1, TELL, prompt, "greedy")).isEmpty();
+        assertThat(Gate.sentTo(gate.arrive(2, TELL, prompt, "modest"))).isPresent();
     }
 
-    private List<GateAction> turnElsewhere(String account, long used) {
-        return gate.handle(new GateEvent.PeerReported(
-                "peer",
-                new GatewayReport(
-                        HashTreePMap.empty(),
-                        HashTreePMap.singleton(account, used),
-                        HashTreePMap.singleton(Gate.MODEL, account))));
+    @Test
+    void whileAllGetWhatTheyAskForNobodyLeavesRoom() {
+        gate.register(Gate.upstream("one", Gate.MODEL));
+        accountsElsewhere(
+                Map.of("large", new AccountTokens(9_000_000, 9_000_000), "small", new AccountTokens(100_000, 100_000)));
+        gate.elsewhere("other", "one", 1, 15_000);
+        gate.pass(Gate.TICK);
+        assertThat(Gate.sentTo(gate.arrive(1, TELL, Gate.prompt("session", 3000, 4000), "large")))
+                .isPresent();
+    }
+
+    private void accountsElsewhere(Map<String, AccountTokens> accounts) {
+        gate.handle(new GateEvent.PeerLinked("peer"));
+        gate.handle(new GateEvent.PeerReported(
+                "peer", new GatewayReport(HashTreePMap.empty(), HashTreePMap.from(accounts))));
     }
 
     @Test
-    void theOthersHearWhoseTurnItIsHere() {
+    void theOthersHearWhatAccountsAskedAndGotHere() {
         gate.register(Gate.upstream("one", Gate.MODEL));
         Prompt prompt = Gate.prompt("session", 3000, 60_000);
-        gate.arrive(1, TELL, prompt, "got");
-        gate.arrive(2, TELL, prompt, "got");
-        gate.arrive(3, TELL, prompt, "waits");
-        assertThat(gate.told(Duration.ofMillis(100)).orElseThrow().report().turns())
-                .containsExactly(Map.entry(Gate.MODEL, "waits"));
+        gate.arrive(1, TELL, prompt, "served");
+        gate.arrive(2, TELL, prompt, "waits");
+        GatewayReport told = gate.told(Duration.ZERO).orElseThrow().report();
+        assertThat(told.accounts())
+                .containsOnly(
+                        Map.entry("served", new AccountTokens(prompt.cost(), prompt.cost())),
+                        Map.entry("waits", new AccountTokens(prompt.cost(), 0)));
+    }
+
+    @Test
+    void theOthersHearOfARequestThatFindsNoRoom() {
+        gate.handle(new GateEvent.PeerLinked("peer"));
+        gate.told(Duration.ofMillis(100));
+        gate.arrive(1, TELL, Gate.prompt("session", 3000, 4000), "waits");
+        assertThat(gate.told(Duration.ofMillis(100))).isPresent();
+        assertThat(gate.told(Duration.ofMillis(100))).isEmpty();
     }
 
     @Test
--- /dev/null
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/MaxMinLevelTest.java
@@ -0,0 +1,27 @@
+package org.sassafrastrail.gate;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** The even level of max-min fair shares. */
+class MaxMinLevelTest {
+
+    @Test
+    void whoAsksForLessThanTheLevelLeavesTheRestToTheOthers() {
+        assertThat(MaxMinLevel.of(List.of(10.0, 90.0, 1.0), 51)).isEqualTo(40);
+    }
+
+    @Test
+    void whereAllGetWhatTheyAskForThereIsNoLevel() {
+        assertThat(MaxMinLevel.of(List.of(10.0, 90.0), 100)).isInfinite();
+        assertThat(MaxMinLevel.of(List.of(), 0)).isInfinite();
+    }
+
+    @Test
+    void whereNothingWasGivenTheLevelIsNothing() {
+        assertThat(MaxMinLevel.of(List.of(10.0, 90.0), 0)).isZero();
+    }
+}
--- a/gate-core/src/test/java/org/sassafrastrail/gate/ReportCostTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/ReportCostTest.java
@@ -2,6 +2,7 @@
 
 import java.lang.management.ManagementFactory;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -9,7 +10,6 @@
 
 import org.junit.jupiter.api.Test;
 import org.pcollections.HashTreePMap;
-import org.sassafrastrail.model.TargetName;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -42,16 +42,19 @@
                 .forEach(number -> gate.arrive(
                         number, tell, Gate.prompt("session-" + number, 3780, 9000), "account-" + number % ACCOUNTS));
         assertThat(gate.state().waiting()).hasSize(WAITING);
-        takeReports(WARM_UP_SECONDS);
-        Duration took = processorTime(() -> takeReports(SECONDS));
+        reports(WARM_UP_SECONDS).forEach(gate::handle);
+        List<GateEvent> reports = reports(SECONDS);
+        Duration took = processorTime(() -> reports.forEach(gate::handle));
         assertThat((double) took.toNanos() / Duration.ofSeconds(SECONDS).toNanos())
                 .isLessThan(MOST_SHARE_OF_CORE);
         assertThat(gate.state().waiting()).hasSize(WAITING);
     }
 
-    private void takeReports(int seconds) {
-        IntStream.range(0, seconds * REPORTS_A_SECOND)
-                .forEach(round -> IntStream.range(0, PEERS).forEach(peer -> gate.handle(report(peer, round))));
+    private static List<GateEvent> reports(int seconds) {
+        return IntStream.range(0, seconds * REPORTS_A_SECOND)
+                .boxed()
+                .flatMap(round -> IntStream.range(0, PEERS).mapToObj(peer -> report(peer, round)))
+                .toList();
     }
 
     /** Every peer has more at every engine than leaves room for others. */
@@ -61,15 +64,13 @@
                 .collect(Collectors.toMap(
                         engine -> new UpstreamIdentifier("engine-" + engine),
                         engine -> new UpstreamLoadElsewhere(3 + round % 2, 5000 + 10L * round % 7)));
-        Map<String, Long> usage = IntStream.range(0, ACCOUNTS)
+        Map<String, AccountTokens> accounts = IntStream.range(0, ACCOUNTS)
                 .boxed()
-                .collect(Collectors.toMap(account -> "account-" + account, account -> 1000L * account + round));
+                .collect(Collectors.toMap(
+                        account -> "account-" + account,
+                        account -> new AccountTokens(2000L * account + round, 1000L * account + round)));
         return new GateEvent.PeerReported(
-                "peer-" + peer,
-                new GatewayReport(
-                        HashTreePMap.from(loads),
-                        HashTreePMap.from(usage),
-                        HashTreePMap.<TargetName, String>empty().plus(Gate.MODEL, "account-" + peer)));
+                "peer-" + peer, new GatewayReport(HashTreePMap.from(loads), HashTreePMap.from(accounts)));
     }
 
     private static Duration processorTime(Runnable work) {
--- /dev/null
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/ShareAudit.java
@@ -0,0 +1,80 @@
+package org.sassafrastrail.gate;
+
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/** Compares, second by second, what each account got with what it asked for and with what the best served account got. */
+final class ShareAudit {
+
+    private static final int WINDOW_SECONDS = 6;
+    private static final double AIM_MILLISECONDS = 500;
+    private static final double MILLISECONDS = 1000;
+
+    private final int seconds;
+    private final Map<String, Account> accounts = new TreeMap<>();
+
+    ShareAudit(List<SimulatedFleet.Asked> requests, int seconds) {
+        this.seconds = seconds;
+        requests.forEach(this::note);
+    }
+
+    /** An account's seconds: tokens asked for by arrival, tokens got by beginning, requests not served in time. */
+    private record Account(long[] asked, long[] got, int[] unserved) {}
+
+    /**
+     * An account that had to wait in each second of a window.
+     *
+     * @param account the account
+     * @param from the first second of the window
+     * @param share what it got, as a share of what it asked for or the best served got, whichever is less
+     */
+    record Waiting(String account, int from, double share) {}
+
+    private void note(SimulatedFleet.Asked request) {
+        Account account = accounts.computeIfAbsent(
+                request.account, name -> new Account(new long[seconds], new long[seconds], new int[seconds]));
+        int arrived = (int) (request.at / MILLISECONDS);
+        if (arrived < seconds) {
+            account.asked[arrived] += request.prompt.cost();
+            account.unserved[arrived] += request.beganAt - request.at <= AIM_MILLISECONDS ? 0 : 1;
+        }
+        int began = Double.isNaN(request.beganAt) ? seconds : (int) (request.beganAt / MILLISECONDS);
+        if (began < seconds) {
+            account.got[began] += request.prompt.cost();
+        }
+    }
+
+    /** All accounts and windows in which the account waited all through. */
+    Stream<Waiting> waiting() {
+        return IntStream.rangeClosed(0, seconds - WINDOW_SECONDS).boxed().flatMap(from -> accounts.entrySet().stream()
+                .filter(entry -> window(from).allMatch(second -> entry.getValue().unserved[second] > 0))
+                .map(entry -> new Waiting(entry.getKey(), from, share(entry.getValue(), from))));
+    }
+
+    private double share(Account account, int from) {
+        long due = window(from)
+                .mapToLong(second -> Math.min(account.asked[second], best(accounts.values(), second)))
+                .sum();
+        return (double) window(from).mapToLong(second -> account.got[second]).sum() / due;
+    }
+
+    private static long best(Collection<Account> accounts, int second) {
+        return accounts.stream().mapToLong(account -> account.got[second]).max().orElse(0);
+    }
+
+    private static IntStream window(int from) {
+        return IntStream.range(from, from + WINDOW_SECONDS);
+    }
+
+    /** The tokens that all accounts got. */
+    long served() {
+        return accounts.values().stream()
+                .flatMapToLong(account -> Arrays.stream(account.got))
+                .sum();
+    }
+}
--- /dev/null
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedFleet.java
@@ -0,0 +1,269 @@
+package org.sassafrastrail.gate;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+import org.pcollections.TreePVector;
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.model.AccountName;
+
+/**
+ * Many gateways before many engines, in virtual time: the cores decide, links between them take a millisecond, callers
+ * that are refused come back once. The same seed gives the same run.
+ */
+final class SimulatedFleet {
+
+    private static final double TICK_MILLISECONDS = 25;
+    private static final double LINK_MILLISECONDS = 1;
+    private static final double ANSWER_MILLISECONDS = 150;
+    private static final double COME_BACK_MILLISECONDS = 350;
+    private static final int RETRIES = 1;
+
+    /**
+     * An account's callers.
+     *
+     * @param name the account
+     * @param gateways the gateways that its callers are connected to
+     * @param perSecond requests a second
+     * @param hotFrom from when it sends many times as many, in seconds
+     * @param hotUntil until when
+     * @param hotFactor how many times as many
+     */
+    record Account(
+            String name, List<Integer> gateways, double perSecond, double hotFrom, double hotUntil, double hotFactor) {
+
+        double perSecond(double second) {
+            return second >= hotFrom && second < hotUntil ? perSecond * hotFactor : perSecond;
+        }
+    }
+
+    /** A request of a caller, and what became of it. */
+    static final class Asked {
+
+        final String account;
+        final Prompt prompt;
+        final double at;
+        final int tries;
+        double beganAt = Double.NaN;
+        boolean refused;
+
+        Asked(String account, Prompt prompt, double at, int tries) {
+            this.account = account;
+            this.prompt = prompt;
+            this.at = at;
+            this.tries = tries;
+        }
+    }
+
+    /** Something that happens at a time. */
+    private record Happening(double at, long order, Runnable what) {}
+
+    private final Random random;
+    private final PriorityQueue<Happening> happenings =
+            new PriorityQueue<>(Comparator.comparingDouble(Happening::at).thenComparingLong(Happening::order));
+    private final List<GateState> gates = new ArrayList<>();
+    private final List<Map<Long, Asked>> calls = new ArrayList<>();
+    private final Map<String, SimulatedEngine> engines = new HashMap<>();
+    private final List<Asked> all = new ArrayList<>();
+    private final GateCore core;
+    private final Route route = new Route(
+            "tell",
+            "host",
+            "/tell/",
+            TreePVector.singleton(new WeightedTarget(Gate.MODEL, 1)),
+            false,
+            false,
+            true,
+            true,
+            false,
+            1,
+            Duration.ofSeconds(4),
+            Duration.ofMillis(500));
+    private double now;
+    private long orders;
+    private long numbers;
+
+    SimulatedFleet(GateLimits limits, int gateways, int engineCount, long seed) {
+        this.core = new GateCore(limits);
+        this.random = new Random(seed);
+        PMap<UpstreamIdentifier, Upstream> registered = HashTreePMap.empty();
+        for (int number = 0; number < engineCount; number++) {
+            Upstream engine = engine("engine-" + number);
+            registered = registered.plus(engine.identifier(), engine);
+            engines.put(engine.identifier().value(), new SimulatedEngine());
+        }
+        for (int gateway = 0; gateway < gateways; gateway++) {
+            gates.add(GateState.start(Duration.ofSeconds(4)));
+            calls.add(new HashMap<>());
+        }
+        PMap<UpstreamIdentifier, Upstream> upstreams = registered;
+        IntStream.range(0, gateways).forEach(gateway -> {
+            handle(gateway, new GateEvent.RoutesRead(Gate.table(1)));
+            handle(gateway, new GateEvent.UpstreamsRead(upstreams));
+            handle(gateway, new GateEvent.GatewaysCounted(gateways));
+            IntStream.range(0, gateways)
+                    .filter(peer -> peer != gateway)
+                    .forEach(peer -> handle(gateway, new GateEvent.PeerLinked("gateway-" + peer)));
+            at(random.nextDouble() * TICK_MILLISECONDS, () -> tick(gateway));
+        });
+    }
+
+    private static Upstream engine(String name) {
+        Upstream plain = Gate.upstream(name, Gate.MODEL);
+        return new Upstream(
+                plain.identifier(),
+                plain.target(),
+                plain.host(),
+                plain.port(),
+                plain.domain(),
+                plain.version(),
+                128,
+                false,
+                Duration.ZERO,
+                plain.born());
+    }
+
+    private void at(double time, Runnable what) {
+        happenings.add(new Happening(time, orders++, what));
+    }
+
+    private void tick(int gateway) {
+        handle(gateway, new GateEvent.Ticked());
+        at(now + TICK_MILLISECONDS, () -> tick(gateway));
+    }
+
+    /** Lets an account's callers send. */
+    void sends(Account account) {
+        at(0, () -> next(account));
+    }
+
+    private void next(Account account) {
+        double rate = account.perSecond(now / 1000);
+        double wait = rate <= 0 ? 100 : -Math.log(1 - random.nextDouble()) * 1000 / rate;
+        at(now + wait, () -> {
+            if (account.perSecond(now / 1000) > 0) {
+                int gateway =
+                        account.gateways().get(random.nextInt(account.gateways().size()));
+                arrive(gateway, new Asked(account.name(), prompt(account), now, 0));
+            }
+            next(account);
+        });
+    }
+
+    /** Prompts like a model's: few system parts, a session's part, the request's own. */
+    private Prompt prompt(Account account) {
+        double kind = random.nextDouble();
+        if (kind < 0.385) {
+            return prompt("report", 4, 2520, 3780, sessions(account, 650), spread(2890, 39_600), 56);
+        }
+        return kind < 0.835
+                ? prompt("rule", 40, 341, 227, sessions(account, 1150), spread(1800, 6870), 24)
+                : prompt("cab", 40, 103, 69, sessions(account, 410), spread(543, 2310), 280);
+    }
+
+    /** Sessions belong to the whole day; an account has its part of them. */
+    private String sessions(Account account, int sessions) {
+        int own = (int) Math.max(3, sessions * account.perSecond() / 830);
+        return account.name() + "-" + random.nextInt(own);
+    }
+
+    private int spread(double mean, int most) {
+        return (int) Math.min(most, Math.max(50, mean * Math.exp(random.nextGaussian() * 0.83 - 0.35)));
+    }
+
+    private Prompt prompt(
+            String kind, int systems, int systemTokens, int sessionTokens, String session, int own, int out) {
+        PromptPart system = new PromptPart(kind + "-system-" + random.nextInt(systems), systemTokens);
+        PromptPart part = new PromptPart(kind + "-" + session, sessionTokens);
+        return new Prompt(TreePVector.singleton(system).plus(part), systemTokens + sessionTokens + own, out);
+    }
+
+    private void arrive(int gateway, Asked asked) {
+        long number = numbers++;
+        all.add(asked);
+        calls.get(gateway).put(number, asked);
+        Instant instant = instant();
+        handle(
+                gateway,
+                new GateEvent.CallArrived(
+                        number,
+                        new CallDescription(
+                                "request-" + number,
+                                route,
+                                Optional.of(new AccountName(asked.account)),
+                                asked.prompt,
+                                instant,
+                                instant.plusSeconds(4))));
+    }
+
+    private Instant instant() {
+        return Instant.EPOCH.plusSeconds(100).plusNanos((long) (now * 1e6));
+    }
+
+    private void handle(int gateway, GateEvent event) {
+        Transition<GateState, GateAction> transition = core.handle(gates.get(gateway), event, instant());
+        gates.set(gateway, transition.state());
+        transition.actions().forEach(action -> carryOut(gateway, action));
+    }
+
+    private void carryOut(int gateway, GateAction action) {
+        if (action instanceof GateAction.Dispatch dispatch) {
+            at(now + LINK_MILLISECONDS, () -> run(gateway, dispatch));
+        } else if (action instanceof GateAction.Refuse refuse) {
+            Asked asked = calls.get(gateway).remove(refuse.call());
+            asked.refused = true;
+            if (asked.tries < RETRIES) {
+                int other = random.nextInt(gates.size());
+                at(
+                        now + COME_BACK_MILLISECONDS,
+                        () -> arrive(other, new Asked(asked.account, asked.prompt, now, asked.tries + 1)));
+            }
+        } else if (action instanceof GateAction.TellPeers tell) {
+            IntStream.range(0, gates.size())
+                    .filter(peer -> peer != gateway)
+                    .forEach(peer -> at(
+                            now + LINK_MILLISECONDS,
+                            () -> handle(peer, new GateEvent.PeerReported("gateway-" + gateway, tell.report()))));
+        }
+    }
+
+    private void run(int gateway, GateAction.Dispatch dispatch) {
+        Asked asked = calls.get(gateway).get(dispatch.call());
+        double begins = engines.get(dispatch.upstream().identifier().value())
+                .take(now, asked.prompt, "own-" + gateway + "-" + dispatch.call());
+        at(begins, () -> {
+            asked.beganAt = now;
+            handle(gateway, new GateEvent.AnswerBegan(dispatch.call(), dispatch.attempt()));
+        });
+        at(begins + ANSWER_MILLISECONDS, () -> {
+            handle(
+                    gateway,
+                    new GateEvent.AttemptEnded(dispatch.call(), dispatch.attempt(), new AttemptResult.Delivered()));
+            calls.get(gateway).remove(dispatch.call());
+        });
+    }
+
+    /** Lets time pass. */
+    void runUntil(double seconds) {
+        while (!happenings.isEmpty() && happenings.peek().at() < seconds * 1000) {
+            Happening next = happenings.poll();
+            now = next.at();
+            next.what().run();
+        }
+    }
+
+    List<Asked> all() {
+        return all;
+    }
+}
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
@@ -39,7 +39,7 @@
 
     private static final double READ_TOKENS_PER_MILLISECOND = 80;
     private static final double MOST_WAIT_SHARE_OF_AIM = 0.25;
-    private static final double LATER_TURN_SHARE = 0.4;
+    private static final double LEAST_SHARE_OF_ROOM = 0.4;
     private static final int TURNS_LOOKED_AT = 8;
     private static final double MOST_HELD_SHARE_OF_AIM = 0.4;
     private static final Duration COME_BACK_AFTER = Duration.ofMillis(300);
@@ -72,7 +72,7 @@
         return new GateLimits(
                 READ_TOKENS_PER_MILLISECOND,
                 MOST_WAIT_SHARE_OF_AIM,
-                LATER_TURN_SHARE,
+                LEAST_SHARE_OF_ROOM,
                 TURNS_LOOKED_AT,
                 MOST_HELD_SHARE_OF_AIM,
                 COME_BACK_AFTER,
--- a/gateway/src/main/java/org/sassafrastrail/gateway/ReportMessages.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/ReportMessages.java
@@ -3,14 +3,13 @@
 import java.util.stream.Collectors;
 
 import org.pcollections.HashTreePMap;
+import org.sassafrastrail.gate.AccountTokens;
 import org.sassafrastrail.gate.GatewayReport;
 import org.sassafrastrail.gate.UpstreamIdentifier;
 import org.sassafrastrail.gate.UpstreamLoadElsewhere;
-import org.sassafrastrail.messages.AccountTurn;
 import org.sassafrastrail.messages.AccountUse;
 import org.sassafrastrail.messages.LoadReport;
 import org.sassafrastrail.messages.UpstreamLoad;
-import org.sassafrastrail.model.TargetName;
 
 /** What gateways tell each other, as the core knows it and as messages carry it. */
 final class ReportMessages {
@@ -25,11 +24,11 @@
                                 load.getValue().running(),
                                 load.getValue().tokensToRead()))
                         .toList(),
-                report.usage().entrySet().stream()
-                        .map(use -> new AccountUse(use.getKey(), use.getValue()))
-                        .toList(),
-                report.turns().entrySet().stream()
-                        .map(turn -> new AccountTurn(turn.getKey().value(), turn.getValue()))
+                report.accounts().entrySet().stream()
+                        .map(use -> new AccountUse(
+                                use.getKey(),
+                                use.getValue().asked(),
+                                use.getValue().got()))
                         .toList());
     }
 
@@ -39,9 +38,8 @@
                         .collect(Collectors.toMap(
                                 load -> new UpstreamIdentifier(load.upstream()),
                                 load -> new UpstreamLoadElsewhere(load.running(), load.tokensToRead())))),
-                HashTreePMap.from(
-                        message.accounts().stream().collect(Collectors.toMap(AccountUse::account, AccountUse::tokens))),
-                HashTreePMap.from(message.turns().stream()
-                        .collect(Collectors.toMap(turn -> new TargetName(turn.target()), AccountTurn::account))));
+                HashTreePMap.from(message.accounts().stream()
+                        .collect(Collectors.toMap(
+                                AccountUse::account, use -> new AccountTokens(use.asked(), use.got())))));
     }
 }
--- a/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
@@ -18,7 +18,6 @@
 import org.sassafrastrail.fairness.LedgerKey;
 import org.sassafrastrail.fairness.LedgerWriter;
 import org.sassafrastrail.messages.AccountDemand;
-import org.sassafrastrail.messages.AccountTurn;
 import org.sassafrastrail.messages.AccountUse;
 import org.sassafrastrail.messages.CopiedRow;
 import org.sassafrastrail.messages.EvidenceEntry;
@@ -55,7 +54,6 @@
     private static final List<Class<?>> NUMBERS = List.of(Incarnation.class, Revision.class);
     private static final List<Class<?>> PARTS = List.of(
             AccountDemand.class,
-            AccountTurn.class,
             AccountUse.class,
             AttemptIdentifier.class,
             CopiedRow.class,
--- a/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
+++ b/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
@@ -13,7 +13,6 @@
 import org.sassafrastrail.fairness.LedgerKey;
 import org.sassafrastrail.fairness.LedgerWriter;
 import org.sassafrastrail.messages.AccountDemand;
-import org.sassafrastrail.messages.AccountTurn;
 import org.sassafrastrail.messages.AccountUse;
 import org.sassafrastrail.messages.AttemptQuery;
 import org.sassafrastrail.messages.AttemptReport;
@@ -74,8 +73,7 @@
                 new Hello(1, "key", NODE, LIFE, Optional.empty()),
                 new LoadReport(
                         List.of(new UpstreamLoad("i-1", 3, 4000), new UpstreamLoad("i-2", 1, 0)),
-                        List.of(new AccountUse("kitchen", 70_000)),
-                        List.of(new AccountTurn("report", "kitchen"))),
+                        List.of(new AccountUse("kitchen", 90_000, 70_000))),
                 new CopyRequest("servers", 17),
                 new TableCopy("servers", 18, List.of()),
                 new Demand(List.of(new AccountDemand(new AccountName("kitchen"), 3, 100, 20))),
