Close the longest idle caller's connection for a new one, so that descriptors never run out

Callers saw: after a restart under load, no connection to some gateways for up to 16 s (RECOVER). Cause: callers that were refused come back on new connections and keep the old ones; idle ones stay open for a minute. A gateway that came back first had all 4,100 descriptors taken within seconds; accepting then fails, and the server's library backs off for 250, 1,000, 4,000 and 16,000 ms in turn, on the callers', the readiness and the links' ports alike. Half of the process's descriptors are for callers' connections, 3,000 at most. A connection that carries a request is never closed for another.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/Admission.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/Admission.java
@@ -2,14 +2,21 @@
 
 import org.sassafrastrail.gate.Route;
 
-/** Whether this process takes requests in at all, asked before a request's body is read. */
+/** What this process takes in. */
 interface Admission {
 
     /**
-     * Decides on a request.
+     * Decides on a request, before its body is read.
      *
      * @param route the request's route
      * @return whether it is taken in
      */
     boolean admits(Route route);
+
+    /**
+     * Limits the callers' connections.
+     *
+     * @return how many may be open
+     */
+    int mostConnections();
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallLog.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallLog.java
@@ -31,6 +31,11 @@
                 LogField.of("configuration", configuration));
     }
 
+    @Override
+    public void connectionClosedOverLimit() {
+        metrics.count("connections-closed-over-limit", 1);
+    }
+
     @Override
     public void attemptEnded(String request, int attempt, Upstream upstream, AttemptResult result, String cause) {
         String name = result.getClass().getSimpleName();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallRecorder.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallRecorder.java
@@ -34,4 +34,7 @@
      * @param call what became of it
      */
     void finished(FinishedCall call);
+
+    /** A caller's idle connection was closed because too many were open. */
+    void connectionClosedOverLimit();
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -44,7 +44,7 @@
     private final AtomicLong numbers = new AtomicLong();
     private final AtomicLong bodyBytes = new AtomicLong();
     private final Map<Long, CallerExchange> calls = new ConcurrentHashMap<>();
-    private final OpenConnections open = new OpenConnections(this::left);
+    private final OpenConnections open;
     private final Map<XnioIoThread, UpstreamConnections> connections = new ConcurrentHashMap<>();
 
     CallerFrontEnd(
@@ -62,6 +62,7 @@
         this.admission = admission;
         this.clock = clock;
         this.buffers = buffers;
+        this.open = new OpenConnections(admission.mostConnections(), recorder::connectionClosedOverLimit, this::left);
     }
 
     Optional<CallerExchange> call(long number) {
--- /dev/null
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/Descriptors.java
@@ -0,0 +1,25 @@
+package org.sassafrastrail.gateway;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.OperatingSystemMXBean;
+
+import com.sun.management.UnixOperatingSystemMXBean;
+
+/** How many of this process's file descriptors callers' connections may take. */
+final class Descriptors {
+
+    /** Each request that runs needs another one to its upstream; links, the store and files take the rest. */
+    private static final double CALLERS_SHARE = 0.5;
+
+    /** Where the system names no limit: what the buffers of connections may take of a small VM's memory. */
+    private static final int MOST_CONNECTIONS = 3_000;
+
+    private Descriptors() {}
+
+    /** The number of callers' connections that may be open. */
+    static int mostCallersConnections() {
+        OperatingSystemMXBean system = ManagementFactory.getOperatingSystemMXBean();
+        long limit = system instanceof UnixOperatingSystemMXBean unix ? unix.getMaxFileDescriptorCount() : -1;
+        return limit <= 0 ? MOST_CONNECTIONS : (int) Math.min(MOST_CONNECTIONS, Math.round(limit * CALLERS_SHARE));
+    }
+}
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -73,7 +73,8 @@
                 this::state,
                 this::post,
                 new CallLog(metrics, log),
-                new PromptAdmission(this::behind, settings.limits().mostHeldShareOfAim()),
+                new PromptAdmission(
+                        this::behind, settings.limits().mostHeldShareOfAim(), Descriptors.mostCallersConnections()),
                 clock,
                 buffers);
         this.peers = new PeerLinks(settings, new Incarnation(clock.millis()), this::post, metrics, log);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PromptAdmission.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PromptAdmission.java
@@ -10,14 +10,21 @@
 
     private final Supplier<Duration> behind;
     private final double mostHeldShareOfAim;
+    private final int mostConnections;
 
-    PromptAdmission(Supplier<Duration> behind, double mostHeldShareOfAim) {
+    PromptAdmission(Supplier<Duration> behind, double mostHeldShareOfAim, int mostConnections) {
         this.behind = behind;
         this.mostHeldShareOfAim = mostHeldShareOfAim;
+        this.mostConnections = mostConnections;
     }
 
     @Override
     public boolean admits(Route route) {
         return behind.get().toNanos() <= route.aim().toNanos() * mostHeldShareOfAim;
     }
+
+    @Override
+    public int mostConnections() {
+        return mostConnections;
+    }
 }
--- a/gateway/src/test/java/org/sassafrastrail/gateway/PromptAdmissionTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/PromptAdmissionTest.java
@@ -28,7 +28,7 @@
             Duration.ofMillis(500));
 
     private static boolean admits(long behindMilliseconds) {
-        return new PromptAdmission(() -> Duration.ofMillis(behindMilliseconds), 0.4).admits(ROUTE);
+        return new PromptAdmission(() -> Duration.ofMillis(behindMilliseconds), 0.4, 1).admits(ROUTE);
     }
 
     /** Guards against RECOVER: requests were taken in, held their time and refused, and came back sooner than it caught up. */
