Stop at an upstream's bytes without an end: limits on events, kept failures and answers, and turns on the traffic thread

Callers saw, with an upstream in trouble: all requests of the gateway stand still, and a process that fills its memory. Cause: one connection was read for as long as bytes came, so a fast upstream had the traffic thread for itself; an event without an end, and a failure of any size, were gathered in memory, the event copied anew with each part. Now a connection gives way after 16 buffers, an event over 256 KB, a kept failure over 1 MB or an answer over 8 MB ends the attempt as lost or broken, which counts towards ejection and is logged with its cause; nothing is passed off as whole. Not tested yet: each of these while the caller has left.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -28,6 +28,9 @@
     /** Answers up to this size are gathered, so that one that breaks off can still be replaced. */
     private static final int LARGEST_GATHERED_BYTES = 64 * 1024;
 
+    /** An upstream's failure over this size is not kept. */
+    private static final int LARGEST_KEPT_FAILURE_BYTES = 1024 * 1024;
+
     private static final byte[] NOTHING = {};
 
     private final HttpServerExchange exchange;
@@ -179,8 +182,12 @@
         if (gathered.isPresent()) {
             return gather(part, gathered.get());
         }
-        return answer.write(
-                head, cutter.map(cut -> ByteBuffer.wrap(cut.whole(part))).orElse(part));
+        ByteBuffer events = cutter.map(cut -> ByteBuffer.wrap(cut.whole(part))).orElse(part);
+        if (cutter.filter(EventCutter::isOverLimit).isPresent()) {
+            attempt.reject("event without an end");
+            return false;
+        }
+        return answer.write(head, events);
     }
 
     /** An answer that is too large to gather is passed on as it comes. */
@@ -188,6 +195,10 @@
         byte[] bytes = new byte[part.remaining()];
         part.get(bytes);
         sofar.writeBytes(bytes);
+        if (head.kind() == AnswerKind.FAILED && sofar.size() > LARGEST_KEPT_FAILURE_BYTES) {
+            attempt.reject("failure over " + LARGEST_KEPT_FAILURE_BYTES + " bytes");
+            return false;
+        }
         if (sofar.size() <= LARGEST_GATHERED_BYTES || head.kind() == AnswerKind.FAILED) {
             return true;
         }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/EventCutter.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/EventCutter.java
@@ -14,6 +14,8 @@
 
     private static final String IDENTIFIER_FIELD = "id:";
 
+    private static final int LARGEST_EVENT_BYTES = 256 * 1024;
+
     private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
     private Optional<String> last = Optional.empty();
 
@@ -38,6 +40,11 @@
         return events;
     }
 
+    /** Tells whether what came after the last whole event is too large to be a part of one. */
+    boolean isOverLimit() {
+        return partial.size() > LARGEST_EVENT_BYTES;
+    }
+
     /** Gives what came after the last whole event, at the end of a whole stream. */
     byte[] rest() {
         byte[] all = partial.toByteArray();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -32,6 +32,11 @@
     private static final Duration KEEP_ALIVE_UNSAID = Duration.ofSeconds(2);
     private static final String KEEP_ALIVE_TIMEOUT = "timeout=";
 
+    /** How much is read before other connections get their turn. */
+    private static final int MOST_BUFFERS_IN_A_TURN = 16;
+
+    private static final long LARGEST_ANSWER_BYTES = 8L * 1024 * 1024;
+
     private final Upstream upstream;
     private final String request;
     private final Supplier<Optional<ClientRequest>> message;
@@ -45,6 +50,7 @@
     private Duration keepFor = KEEP_ALIVE_UNSAID;
     private boolean ended;
     private boolean answering;
+    private long answerBytes;
 
     UpstreamAttempt(
             Upstream upstream,
@@ -157,17 +163,21 @@
         }
         try (PooledByteBuffer pooled = connection.getBufferPool().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
+            int turn = 0;
             int count = fill(buffer);
-            while (count > 0) {
+            while (count > 0 && turn < MOST_BUFFERS_IN_A_TURN) {
                 buffer.flip();
-                if (!listener.takes(buffer)) {
+                if (!takes(buffer)) {
                     source.suspendReads();
                     return;
                 }
-                count = fill(buffer);
+                turn++;
+                count = turn < MOST_BUFFERS_IN_A_TURN ? fill(buffer) : count;
             }
             if (count < 0) {
                 whole();
+            } else if (count > 0) {
+                source.wakeupReads();
             } else {
                 listener.pauses();
                 source.resumeReads();
@@ -177,6 +187,21 @@
         }
     }
 
+    /** False if nothing more can be taken for now, or at all. */
+    private boolean takes(ByteBuffer part) {
+        answerBytes += part.remaining();
+        if (answerBytes > LARGEST_ANSWER_BYTES) {
+            lost("answer over " + LARGEST_ANSWER_BYTES + " bytes");
+            return false;
+        }
+        return listener.takes(part) && !ended;
+    }
+
+    /** Ends the attempt because its answer cannot be one. */
+    void reject(String cause) {
+        lost(cause);
+    }
+
     private int fill(ByteBuffer buffer) throws IOException {
         buffer.clear();
         return source.read(buffer);
