Ask for no more callers while this process does not keep up, and send those away that it refuses at the door

Cause: it went on saying that it was ready, so new connections came to it as fast as it could refuse them (about 245 a second), and those it refused stayed. Now readiness asks that its threads are less than 400 ms behind, so that the platform's balancer sends new callers to others, a refusal at the door ends its connection, and both changes are logged with the lags. That callers then come to others in time for the rule's six seconds is NOT shown: connections that wait to be accepted are worked off first, several seconds of them.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/Admission.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/Admission.java
@@ -13,6 +13,13 @@
      */
     boolean admits(Route route);
 
+    /**
+     * Tells whether new callers had better come here than elsewhere.
+     *
+     * @return whether this process keeps up with those that it has
+     */
+    boolean keepsUp();
+
     /**
      * Limits the callers' connections.
      *
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -97,6 +97,7 @@
         } else if (bodyBytes.get() > MOST_BODY_BYTES_AT_ONCE) {
             refuse(exchange, request, StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.ACCOUNT_QUEUE_FULL);
         } else if (!admission.admits(route.get())) {
+            exchange.setPersistent(false);
             refuse(exchange, request, StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.ROUTER_OVERLOADED);
         } else {
             CallDescription description = describe(head, route.get(), account);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -36,7 +36,6 @@
     /** The platform asks every second and needs two misses; one second more lets callers' connections arrive. */
     private static final Duration ACCEPTING_WHILE_STOPPING = Duration.ofMillis(2700);
 
-    private static final Duration MOST_LAG = Duration.ofSeconds(2);
     private static final int BUFFER_BYTES = 16 * 1024;
 
     private final GatewaySettings settings;
@@ -48,10 +47,12 @@
     private final Ticker ticker;
     private final XnioWorker worker;
     private final ThreadLag traffic;
+    private final Admission admission;
     private final CallerFrontEnd callers;
     private final CallerListener entrance;
     private final CallerListener pages;
     private final PeerLinks peers;
+    private boolean overloaded;
     private Runnable stopTelling = () -> {};
 
     /**
@@ -68,15 +69,10 @@
         DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
         this.worker = worker();
         this.traffic = new ThreadLag(worker.getIoThread(), clock);
+        this.admission = new PromptAdmission(
+                this::behind, settings.limits().mostHeldShareOfAim(), Descriptors.mostCallersConnections());
         this.callers = new CallerFrontEnd(
-                protocol,
-                this::state,
-                this::post,
-                new CallLog(metrics, log),
-                new PromptAdmission(
-                        this::behind, settings.limits().mostHeldShareOfAim(), Descriptors.mostCallersConnections()),
-                clock,
-                buffers);
+                protocol, this::state, this::post, new CallLog(metrics, log), admission, clock, buffers);
         this.peers = new PeerLinks(settings, new Incarnation(clock.millis()), this::post, metrics, log);
         GateActions actions = new GateActions(callers, peers::tell, drained::countDown, metrics, log);
         this.control = new ControlLoop<>(
@@ -116,16 +112,27 @@
         exchange.endExchange();
     }
 
-    /** A gateway whose control thread stands still decides on nothing, whatever its state says. */
+    /** A gateway that does not keep up is better left to the callers that it has, whatever its state says. */
     private boolean ready() {
-        return state().ready() && control.lag().compareTo(MOST_LAG) < 0;
+        return state().ready() && admission.keepsUp();
     }
 
     private void tick() {
         traffic.probe();
+        noteOverload(!admission.keepsUp());
         post(new GateEvent.Ticked());
     }
 
+    private void noteOverload(boolean overloaded) {
+        if (overloaded != this.overloaded) {
+            this.overloaded = overloaded;
+            log.warn(
+                    overloaded ? "overloaded" : "keeps-up",
+                    LogField.of("control-lag-ms", control.lag().toMillis()),
+                    LogField.of("traffic-lag-ms", traffic.lag().toMillis()));
+        }
+    }
+
     /** How far this process is behind its callers: the longer of its threads' lags. */
     private Duration behind() {
         Duration control = this.control.lag();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PromptAdmission.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PromptAdmission.java
@@ -8,6 +8,9 @@
 /** Admits a request if this process comes to it within the time that the request may be held. */
 final class PromptAdmission implements Admission {
 
+    /** So far behind, a process has more callers than it can serve or even refuse in time. */
+    private static final Duration OVERLOADED = Duration.ofMillis(400);
+
     private final Supplier<Duration> behind;
     private final double mostHeldShareOfAim;
     private final int mostConnections;
@@ -23,6 +26,11 @@
         return behind.get().toNanos() <= route.aim().toNanos() * mostHeldShareOfAim;
     }
 
+    @Override
+    public boolean keepsUp() {
+        return behind.get().compareTo(OVERLOADED) < 0;
+    }
+
     @Override
     public int mostConnections() {
         return mostConnections;
--- a/gateway/src/test/java/org/sassafrastrail/gateway/PromptAdmissionTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/PromptAdmissionTest.java
@@ -28,7 +28,18 @@
             Duration.ofMillis(500));
 
     private static boolean admits(long behindMilliseconds) {
-        return new PromptAdmission(() -> Duration.ofMillis(behindMilliseconds), 0.4, 1).admits(ROUTE);
+        return admission(behindMilliseconds).admits(ROUTE);
+    }
+
+    private static Admission admission(long behindMilliseconds) {
+        return new PromptAdmission(() -> Duration.ofMillis(behindMilliseconds), 0.4, 1);
+    }
+
+    /** Guards against FAIR: a small VM that many callers came to refused them all, and was sent more. */
+    @Test
+    void aProcessThatCannotKeepUpAsksForNoMoreCallers() {
+        assertThat(admission(399).keepsUp()).isTrue();
+        assertThat(admission(400).keepsUp()).isFalse();
     }
 
     /** Guards against RECOVER: requests were taken in, held their time and refused, and came back sooner than it caught up. */
