Bound the fair level by the capacity that operators state

Cause: the level followed all that engines gave out, also what they gave out beyond the capacity that the accounts are owed shares of, so the account that asked most filled the engines. Now the level is that of what was given out or of the stated capacity, if that is less. Without a stated capacity all is as before. Evidence: whatIsGivenOutBeyondTheStatedCapacityDoesNotRaiseTheLevel, new with the stated capacity, which gateways did not read before.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/AccountShares.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AccountShares.java
@@ -13,7 +13,7 @@
 
 /**
  * What client accounts asked and got lately over the fleet, and the level up to which all of them could have got the
- * same: the max-min fair share of what was given out.
+ * same: the max-min fair share of what was given out, or of the capacity that operators state if that is less.
  *
  * @param here what they asked and got at this gateway
  * @param elsewhere what they asked and got at all others
@@ -83,12 +83,13 @@
         return new AccountTokens(Math.round(tokens.asked()), Math.round(tokens.got()));
     }
 
-    /** Finds the level anew. */
-    AccountShares levelled(Instant now) {
+    /** Finds the level anew, for a capacity in tokens a second. */
+    AccountShares levelled(double tokensPerSecond, Instant now) {
         Set<String> accounts = here.accounts().plusAll(elsewhere.accounts()).keySet();
         List<FadingTokens> tokens =
                 accounts.stream().map(account -> fleet(account, now)).toList();
-        double total = tokens.stream().mapToDouble(FadingTokens::got).sum();
+        double given = tokens.stream().mapToDouble(FadingTokens::got).sum();
+        double total = Math.min(given, FadingTokens.steady(tokensPerSecond, here.halfLife()));
         List<Double> claims = tokens.stream().map(AccountShares::claim).toList();
         return new AccountShares(here, elsewhere, reports, MaxMinLevel.of(claims, total));
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/FadingTokens.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/FadingTokens.java
@@ -12,6 +12,8 @@
  */
 record FadingTokens(double asked, double got, Instant at) {
 
+    private static final double NANOSECONDS_IN_SECOND = 1e9;
+
     static FadingTokens none(Instant now) {
         return new FadingTokens(0, 0, now);
     }
@@ -28,6 +30,11 @@
         return halves <= 0 ? 1 : Math.pow(2, -halves);
     }
 
+    /** What tokens that come at a steady rate, in tokens a second, add up to while they fade. */
+    static double steady(double tokensPerSecond, Duration halfLife) {
+        return tokensPerSecond * halfLife.toNanos() / NANOSECONDS_IN_SECOND / Math.log(2);
+    }
+
     FadingTokens plus(double moreAsked, double moreGot) {
         return new FadingTokens(asked + moreAsked, got + moreGot, at);
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/RouteTable.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/RouteTable.java
@@ -17,6 +17,7 @@
  * @param accountsByKey the client account of each key
  * @param keysRequired whether requests need a key, unless their route is anonymous
  * @param largestBodyBytes the largest size of a request's body
+ * @param tokensPerSecond the capacity that client accounts share, as operators state it; infinite if they do not
  */
 public record RouteTable(
         long version,
@@ -24,7 +25,8 @@
         PMap<TargetName, TargetProfile> targets,
         PMap<String, AccountName> accountsByKey,
         boolean keysRequired,
-        long largestBodyBytes) {
+        long largestBodyBytes,
+        double tokensPerSecond) {
 
     /**
      * Finds the route of a request: of all whose prefix begins the path, the longest.
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TimeHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TimeHandler.java
@@ -23,13 +23,17 @@
 
     Transition<GateState, GateAction> ticked(GateState state, GateEvent.Ticked event, Instant now) {
         return scheduler
-                .sendAll(state.with(state.shares().levelled(now)), now)
+                .sendAll(state.with(state.shares().levelled(capacity(state), now)), now)
                 .and(next -> calls.expire(next, now))
                 .and(next -> comeBack(next, now))
                 .and(next -> tellPeers(next, now))
                 .and(next -> drained(next, now));
     }
 
+    private static double capacity(GateState state) {
+        return state.table().map(RouteTable::tokensPerSecond).orElse(Double.POSITIVE_INFINITY);
+    }
+
     private Transition<GateState, GateAction> tellPeers(GateState state, Instant now) {
         if (!state.peers().mayTell(now, limits.tellPeersEvery())) {
             return Transition.stay(state);
--- a/gate-core/src/test/java/org/sassafrastrail/gate/Gate.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/Gate.java
@@ -49,6 +49,10 @@
     }
 
     static RouteTable table(long version) {
+        return table(version, Double.POSITIVE_INFINITY);
+    }
+
+    static RouteTable table(long version, double tokensPerSecond) {
         return new RouteTable(
                 version,
                 HashTreePMap.empty(),
@@ -57,7 +61,8 @@
                         .plus(DESK, new TargetProfile(DESK, 0)),
                 HashTreePMap.empty(),
                 false,
-                1000);
+                1000,
+                tokensPerSecond);
     }
 
     static Route route(String name, TargetName target, boolean repeatable, boolean prompted, int mostUpstreams) {
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GateCoreTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GateCoreTest.java
@@ -117,6 +117,19 @@
                 .isPresent();
     }
 
+    @Test
+    void whatIsGivenOutBeyondTheStatedCapacityDoesNotRaiseTheLevel() {
+        gate.handle(new GateEvent.RoutesRead(Gate.table(2, 1_000_000)));
+        gate.register(Gate.upstream("one", Gate.MODEL));
+        accountsElsewhere(
+                Map.of("large", new AccountTokens(9_000_000, 9_000_000), "small", new AccountTokens(100_000, 100_000)));
+        gate.elsewhere("other", "one", 1, 15_000);
+        gate.pass(Gate.TICK);
+        Prompt prompt = Gate.prompt("session", 3000, 4000);
+        assertThat(gate.arrive(1, TELL, prompt, "large")).isEmpty();
+        assertThat(Gate.sentTo(gate.arrive(2, TELL, prompt, "small"))).isPresent();
+    }
+
     private void accountsElsewhere(Map<String, AccountTokens> accounts) {
         gate.handle(new GateEvent.PeerLinked("peer"));
         gate.handle(new GateEvent.PeerReported(
--- a/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedFleet.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedFleet.java
@@ -30,6 +30,9 @@
     private static final double COME_BACK_MILLISECONDS = 350;
     private static final int RETRIES = 1;
 
+    /** What the engines give out together with parts kept as they are kept here. */
+    private static final double TOKENS_PER_SECOND = 2_500_000;
+
     /**
      * An account's callers.
      *
@@ -109,7 +112,7 @@
         }
         PMap<UpstreamIdentifier, Upstream> upstreams = registered;
         IntStream.range(0, gateways).forEach(gateway -> {
-            handle(gateway, new GateEvent.RoutesRead(Gate.table(1)));
+            handle(gateway, new GateEvent.RoutesRead(Gate.table(1, TOKENS_PER_SECOND)));
             handle(gateway, new GateEvent.UpstreamsRead(upstreams));
             handle(gateway, new GateEvent.GatewaysCounted(gateways));
             IntStream.range(0, gateways)
