Refuse a request at its deadline whose key nobody answers for

Callers saw: a keyed request to today's router without any answer for a minute. Cause: a request that claims its idempotency key waited for the platform's answer without a bound of its own. Now the tick refuses it at its deadline as not run, which it truly is, and releases the key; an answer that comes later finds nobody. RouterCoreTest.aRequestWhoseKeyNobodyAnswersForIsRefusedAtItsDeadline failed before.

--- a/router-core/src/main/java/org/sassafrastrail/router/core/TickHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/TickHandler.java
@@ -32,6 +32,7 @@
         return Transition.<RouterState, RouterAction>stay(state)
                 .and(next -> noticePause(next, now))
                 .and(next -> refuseLate(next, now))
+                .and(next -> refuseUnclaimed(next, now))
                 .and(next -> endQuestions(next, now))
                 .and(next -> takeFromSilent(next, now))
                 .and(next -> demand.tellAll(next, now))
@@ -57,6 +58,18 @@
                         (next, late) -> Refusals.refuse(next, late, RefusalReason.DEADLINE_EXCEEDED));
     }
 
+    /** The platform's answer about a key may never come; the request was not sent meanwhile. */
+    private Transition<RouterState, RouterAction> refuseUnclaimed(RouterState state, Instant now) {
+        return Transition.<RouterState, RouterAction>stay(state)
+                .forEach(
+                        state.claiming().values().stream().filter(request -> !now.isBefore(request.deadline())),
+                        (next, request) -> Transition.<RouterState, RouterAction>stay(
+                                        next.withClaiming(next.claiming().minus(request.identifier())))
+                                .then(new RouterAction.Refuse(
+                                        request.identifier(), RefusalReason.IDEMPOTENCY_STORE_UNAVAILABLE))
+                                .thenAll(Refusals.release(request)));
+    }
+
     private Transition<RouterState, RouterAction> endQuestions(RouterState state, Instant now) {
         return Transition.<RouterState, RouterAction>stay(state)
                 .forEach(
--- a/router-core/src/test/java/org/sassafrastrail/router/core/RouterCoreTest.java
+++ b/router-core/src/test/java/org/sassafrastrail/router/core/RouterCoreTest.java
@@ -230,6 +230,20 @@
         assertThat(actions).hasAtLeastOneElementOfType(RouterAction.ReleaseKey.class);
     }
 
+    /** Guards against a caller that waits for ever, because nobody answered whether the key was claimed. */
+    @Test
+    void aRequestWhoseKeyNobodyAnswersForIsRefusedAtItsDeadline() {
+        arrive("request-1", false, Optional.of("key"));
+        now = now.plus(PATIENCE);
+        post(new RouterEvent.Tick());
+        assertThat(actions)
+                .contains(new RouterAction.Refuse(REQUEST, RefusalReason.IDEMPOTENCY_STORE_UNAVAILABLE))
+                .hasAtLeastOneElementOfType(RouterAction.ReleaseKey.class);
+        grant();
+        post(new RouterEvent.KeyAnswered(REQUEST, RouterEvent.KeyAnswer.OWNED));
+        assertThat(dispatch()).isEmpty();
+    }
+
     @Test
     void aRepeatableRequestIsTriedAgainWithinItsBudget() {
         arrive("request-1", true, Optional.empty());
