--- a/gateway/src/main/java/org/sassafrastrail/gateway/Descriptors.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/Descriptors.java
@@ -11,7 +11,7 @@
     /** Each request that runs needs another one to its upstream; links, the store and files take the rest. */
     private static final double CALLERS_SHARE = 0.5;
 
-    /** Where the system names no limit: what the buffers of connections may take of a small VM's memory. */
+    /** However many the system allows: the buffers of this many fit into a small VM's memory. */
     private static final int MOST_CONNECTIONS = 3_000;
 
     private Descriptors() {}
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -69,7 +69,7 @@
         DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
         this.worker = worker();
         this.traffic = new ThreadLag(worker.getIoThread(), clock);
-        this.admission = new PromptAdmission(
+        this.admission = new LagAdmission(
                 this::behind, settings.limits().mostHeldShareOfAim(), Descriptors.mostCallersConnections());
         this.callers = new CallerFrontEnd(
                 protocol, this::state, this::post, new CallLog(metrics, log), admission, clock, buffers);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PromptAdmission.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/LagAdmission.java
@@ -6,7 +6,7 @@
 import org.sassafrastrail.gate.Route;
 
 /** Admits a request if this process comes to it within the time that the request may be held. */
-final class PromptAdmission implements Admission {
+final class LagAdmission implements Admission {
 
     /** So far behind, a process has more callers than it can serve or even refuse in time. */
     private static final Duration OVERLOADED = Duration.ofMillis(400);
@@ -15,7 +15,7 @@
     private final double mostHeldShareOfAim;
     private final int mostConnections;
 
-    PromptAdmission(Supplier<Duration> behind, double mostHeldShareOfAim, int mostConnections) {
+    LagAdmission(Supplier<Duration> behind, double mostHeldShareOfAim, int mostConnections) {
         this.behind = behind;
         this.mostHeldShareOfAim = mostHeldShareOfAim;
         this.mostConnections = mostConnections;
--- a/gateway/src/test/java/org/sassafrastrail/gateway/PromptAdmissionTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/LagAdmissionTest.java
@@ -11,7 +11,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /** Which requests a process takes in that is behind. */
-class PromptAdmissionTest {
+class LagAdmissionTest {
 
     private static final Route ROUTE = new Route(
             "tell",
@@ -32,7 +32,7 @@
     }
 
     private static Admission admission(long behindMilliseconds) {
-        return new PromptAdmission(() -> Duration.ofMillis(behindMilliseconds), 0.4, 1);
+        return new LagAdmission(() -> Duration.ofMillis(behindMilliseconds), 0.4, 1);
     }
 
     /** Guards against FAIR: a small VM that many callers came to refused them all, and was sent more. */
