Give up a server that takes no more of a request when the patience is over

Callers would see: a gateway that never learns of a change again, or a keyed request that nobody answers. Cause: the blocking caller of the store wrote and flushed a request without a bound; only the answer had one. A server that stops taking bytes, or a connection that another thread closes meanwhile, held the calling thread for ever. UndertowCallerTest.aServerThatTakesNoMoreBytesIsGivenUpWhenThePatienceIsOver failed before (30 s against a patience of 0.5 s) and passes now.

--- a/http/src/main/java/org/sassafrastrail/http/UndertowCaller.java
+++ b/http/src/main/java/org/sassafrastrail/http/UndertowCaller.java
@@ -113,7 +113,7 @@
         try {
             long patience = call.patience().toMillis();
             ClientExchange sent = pending.sent().get(patience, TimeUnit.MILLISECONDS);
-            write(sent, call.body());
+            write(sent, call.body(), patience);
             ClientExchange answered = pending.answered().get(patience, TimeUnit.MILLISECONDS);
             return new HttpResult.Answered(new UndertowAnswer(answered, call.patience(), () -> keep(call, connection)));
         } catch (IOException | ExecutionException | TimeoutException lost) {
@@ -135,11 +135,19 @@
         return request;
     }
 
-    private static void write(ClientExchange exchange, byte[] body) throws IOException {
+    /** A server that takes no more bytes is given up after the patience, in milliseconds, as one that does not answer. */
+    private static void write(ClientExchange exchange, byte[] body, long patience)
+            throws IOException, TimeoutException {
         StreamSinkChannel channel = exchange.getRequestChannel();
-        Channels.writeBlocking(channel, ByteBuffer.wrap(body));
+        ByteBuffer unwritten = ByteBuffer.wrap(body);
+        Channels.writeBlocking(channel, unwritten, patience, TimeUnit.MILLISECONDS);
+        if (unwritten.hasRemaining()) {
+            throw new TimeoutException("request not taken");
+        }
         channel.shutdownWrites();
-        Channels.flushBlocking(channel);
+        if (!Channels.flushBlocking(channel, patience, TimeUnit.MILLISECONDS)) {
+            throw new TimeoutException("request not taken");
+        }
     }
 
     private void keep(HttpCall call, ClientConnection connection) {
--- a/http/src/test/java/org/sassafrastrail/http/UndertowCallerTest.java
+++ b/http/src/test/java/org/sassafrastrail/http/UndertowCallerTest.java
@@ -9,12 +9,14 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -23,6 +25,7 @@
 
     private static final Duration PATIENCE = Duration.ofSeconds(5);
     private static final long PAUSE_MILLISECONDS = 60;
+    private static final int MORE_THAN_SOCKETS_HOLD = 64 * 1024 * 1024;
 
     private final UndertowCaller caller = new UndertowCaller(1);
 
@@ -56,6 +59,18 @@
                 .isEqualTo(body);
     }
 
+    /** Guards against a thread that waits for ever, as a store's watch would, for a server that takes nothing more. */
+    @Test
+    @Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aServerThatTakesNoMoreBytesIsGivenUpWhenThePatienceIsOver() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            byte[] body = new byte[MORE_THAN_SOCKETS_HOLD];
+            HttpResult result = caller.call(new HttpCall(
+                    "127.0.0.1", server.getLocalPort(), "POST", "/", Map.of(), body, Duration.ofMillis(500), false));
+            assertThat(result).isInstanceOf(HttpResult.Lost.class);
+        }
+    }
+
     private String bodyOf(String... pieces) throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             CompletableFuture<Void> served = CompletableFuture.runAsync(() -> serve(server, pieces));
