--- a/gate-core/src/main/java/org/sassafrastrail/gate/AccountShares.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AccountShares.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.stream.Stream;
 
 import org.pcollections.HashTreePMap;
@@ -30,13 +29,11 @@
 
     private static final double SAME_TOKENS = 5_000;
 
-    private static final AccountTokens NOTHING = new AccountTokens(0, 0);
-
     /** What a gateway said of accounts, and when. */
     record Report(PMap<String, AccountTokens> accounts, Instant at) {
 
         AccountTokens of(String account) {
-            return accounts.getOrDefault(account, NOTHING);
+            return accounts.getOrDefault(account, AccountTokens.NONE);
         }
     }
 
@@ -58,20 +55,23 @@
         Report before = reports.getOrDefault(peer, new Report(HashTreePMap.empty(), now));
         Report after = new Report(accounts, now);
         double left = FadingTokens.left(before.at(), now, elsewhere.halfLife());
-        Stream<String> either = Stream.concat(
-                before.accounts().keySet().stream(),
-                accounts.keySet().stream().filter(account -> !before.accounts().containsKey(account)));
-        AccountLedger sums = either.reduce(
-                elsewhere,
-                (ledger, account) -> ledger.plus(
-                        account,
-                        after.of(account).asked() - before.of(account).asked() * left,
-                        after.of(account).got() - before.of(account).got() * left,
-                        now),
-                (one, other) -> other);
+        AccountLedger sums = inEither(before.accounts(), accounts)
+                .reduce(
+                        elsewhere,
+                        (ledger, account) -> ledger.plus(
+                                account,
+                                after.of(account).asked() - before.of(account).asked() * left,
+                                after.of(account).got() - before.of(account).got() * left,
+                                now),
+                        (one, other) -> other);
         return new AccountShares(here, sums, reports.plus(peer, after), level);
     }
 
+    private static Stream<String> inEither(Map<String, ?> one, Map<String, ?> other) {
+        return Stream.concat(
+                one.keySet().stream(), other.keySet().stream().filter(account -> !one.containsKey(account)));
+    }
+
     /** What accounts asked and got here, as it counts now, for the other gateways. */
     PMap<String, AccountTokens> told(Instant now) {
         Map<String, AccountTokens> tokens = new HashMap<>();
@@ -85,9 +85,9 @@
 
     /** Finds the level anew, for a capacity in tokens a second. */
     AccountShares levelled(double tokensPerSecond, Instant now) {
-        Set<String> accounts = here.accounts().plusAll(elsewhere.accounts()).keySet();
-        List<FadingTokens> tokens =
-                accounts.stream().map(account -> fleet(account, now)).toList();
+        List<FadingTokens> tokens = inEither(here.accounts(), elsewhere.accounts())
+                .map(account -> fleet(account, now))
+                .toList();
         double given = tokens.stream().mapToDouble(FadingTokens::got).sum();
         double total = Math.min(given, FadingTokens.steady(tokensPerSecond, here.halfLife()));
         List<Double> claims = tokens.stream().map(AccountShares::claim).toList();
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayReport.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayReport.java
@@ -15,15 +15,13 @@
     /** The report of a gateway that has nothing. */
     public static final GatewayReport EMPTY = new GatewayReport(HashTreePMap.empty(), HashTreePMap.empty());
 
-    private static final AccountTokens NOTHING = new AccountTokens(0, 0);
-
     /** Tells whether there is anything new: a load, or a request. What was asked fades by itself, which is no news. */
     boolean isNewsAfter(GatewayReport other) {
         return !loads.equals(other.loads)
                 || accounts.entrySet().stream()
                         .anyMatch(entry -> entry.getValue().asked()
                                 > other.accounts
-                                        .getOrDefault(entry.getKey(), NOTHING)
+                                        .getOrDefault(entry.getKey(), AccountTokens.NONE)
                                         .asked());
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/PromptPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/PromptPlacement.java
@@ -40,12 +40,14 @@
             return Optional.empty();
         }
         Prompt prompt = call.description().prompt();
+        int session = prompt.session().map(PromptPart::tokens).orElse(0);
+        long own = Math.max(1, prompt.inputTokens() - prompt.sharedTokens());
         List<Hashed> hashed = hashed(prompt, candidates);
         Optional<Hashed> first = hashed.stream().min(BY_HASH);
         Optional<Hashed> second =
                 hashed.stream().filter(other -> other != first.get()).min(BY_HASH);
         return hashed.stream()
-                .map(other -> weigh(prompt, other, rank(other, first, second)))
+                .map(other -> weigh(other, rank(other, first, second), own, session))
                 .min(LIGHTEST)
                 .map(Weighed::place)
                 .filter(place -> admits(place.candidate(), call, room));
@@ -69,9 +71,7 @@
         return hashed == second.orElse(null) ? 1 : 2;
     }
 
-    private static Weighed weigh(Prompt prompt, Hashed hashed, int rank) {
-        int session = prompt.session().map(PromptPart::tokens).orElse(0);
-        long own = Math.max(1, prompt.inputTokens() - prompt.sharedTokens());
+    private static Weighed weigh(Hashed hashed, int rank, long own, int session) {
         long toRead = rank == 0 ? own : own + session;
         double readAgain = rank == 0 ? 0 : session * (rank == 1 ? READ_AGAIN_AT_SECOND : READ_AGAIN_ELSEWHERE);
         Candidate candidate = hashed.candidate();
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -54,20 +54,21 @@
             GateState state, TargetName target, Candidates candidates, Instant now) {
         return Turns.inOrder(state, target, now)
                 .limit(limits.turnsLookedAt())
-                .flatMap(turn -> dispatch(state, turn.call(), candidates, share(turn), now).stream())
+                .flatMap(turn -> dispatch(state, turn.call(), candidates, share(state, turn.used()), now).stream())
                 .findFirst();
     }
 
     /** Sends a request that has just arrived, if it finds a place. Nothing changed for the others that wait. */
     Transition<GateState, GateAction> sendArrived(GateState state, Call call, Instant now) {
-        double share = share(Turns.of(state, call, now));
+        double share = share(state, state.shares().tokens(Turns.account(call), now));
         return dispatch(state, call, candidates(state, call.target(), now), share, now)
                 .orElseGet(() -> Transition.stay(state));
     }
 
     /** An account above the fair level leaves room to the others, the more so the further above it is. */
-    private double share(Turns.Turn turn) {
-        return turn.aboveLevel() <= 1 ? WHOLE : Math.max(limits.leastShareOfRoom(), 1 / turn.aboveLevel());
+    private double share(GateState state, double used) {
+        double aboveLevel = state.shares().aboveLevel(used);
+        return aboveLevel <= 1 ? WHOLE : Math.max(limits.leastShareOfRoom(), 1 / aboveLevel);
     }
 
     private Optional<Transition<GateState, GateAction>> dispatch(
