Read the gateway's change again: an admission asks for the aim alone, one loop reads an answer, one place names an account

No behaviour changes. Admission took a route and used its aim; the reading of an answer counted turns and buffers in two variables; lost had a second name that only called it; the limit of what is gathered was asked for in two steps, and a local hid the events of the class; the field for an account in the log, and the longer of two lags, stood twice.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/Admission.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/Admission.java
@@ -1,6 +1,6 @@
 package org.sassafrastrail.gateway;
 
-import org.sassafrastrail.gate.Route;
+import java.time.Duration;
 
 /** What this process takes in. */
 interface Admission {
@@ -8,10 +8,10 @@
     /**
      * Decides on a request, before its body is read.
      *
-     * @param route the request's route
+     * @param aim within which an answer to it is on time
      * @return whether it is taken in
      */
-    boolean admits(Route route);
+    boolean admits(Duration aim);
 
     /**
      * Tells whether new callers had better come here than elsewhere.
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallLog.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallLog.java
@@ -1,7 +1,10 @@
 package org.sassafrastrail.gateway;
 
+import java.util.Optional;
+
 import org.sassafrastrail.gate.AttemptResult;
 import org.sassafrastrail.gate.Upstream;
+import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.RefusalReason;
 import org.sassafrastrail.runtime.EventLog;
 import org.sassafrastrail.runtime.LogField;
@@ -10,7 +13,7 @@
 /** Notes requests and attempts in the log and the metrics. Attempts that went well show in the request's last line. */
 final class CallLog implements CallRecorder {
 
-    static final String NONE = "-";
+    private static final String NONE = "-";
 
     private final Metrics metrics;
     private final EventLog log;
@@ -60,9 +63,7 @@
                 "answered",
                 LogField.of("request", call.description().request()),
                 LogField.of("route", route),
-                LogField.of(
-                        "account",
-                        call.description().account().map(Object::toString).orElse(NONE)),
+                account(call.description().account()),
                 LogField.of("cost", call.description().prompt().cost()),
                 LogField.of("status", call.status()),
                 LogField.of("ending", call.ending()),
@@ -73,4 +74,8 @@
                                 .orElse(NONE)),
                 LogField.of("took-ms", call.took().toMillis()));
     }
+
+    static LogField account(Optional<AccountName> account) {
+        return LogField.of("account", account.map(Object::toString).orElse(NONE));
+    }
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -182,12 +182,12 @@
         if (gathered.isPresent()) {
             return gather(part, gathered.get());
         }
-        ByteBuffer events = cutter.map(cut -> ByteBuffer.wrap(cut.whole(part))).orElse(part);
+        ByteBuffer ready = cutter.map(cut -> ByteBuffer.wrap(cut.whole(part))).orElse(part);
         if (cutter.filter(EventCutter::isOverLimit).isPresent()) {
-            attempt.reject("event without an end");
+            attempt.lost("event without an end");
             return false;
         }
-        return answer.write(head, events);
+        return answer.write(head, ready);
     }
 
     /** An answer that is too large to gather is passed on as it comes. */
@@ -195,13 +195,14 @@
         byte[] bytes = new byte[part.remaining()];
         part.get(bytes);
         sofar.writeBytes(bytes);
-        if (head.kind() == AnswerKind.FAILED && sofar.size() > LARGEST_KEPT_FAILURE_BYTES) {
-            attempt.reject("failure over " + LARGEST_KEPT_FAILURE_BYTES + " bytes");
-            return false;
-        }
-        if (sofar.size() <= LARGEST_GATHERED_BYTES || head.kind() == AnswerKind.FAILED) {
+        boolean failed = head.kind() == AnswerKind.FAILED;
+        if (sofar.size() <= (failed ? LARGEST_KEPT_FAILURE_BYTES : LARGEST_GATHERED_BYTES)) {
             return true;
         }
+        if (failed) {
+            attempt.lost("failure over " + LARGEST_KEPT_FAILURE_BYTES + " bytes");
+            return false;
+        }
         gathered = Optional.empty();
         return answer.write(head, ByteBuffer.wrap(sofar.toByteArray()));
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -96,7 +96,7 @@
             refuse(exchange, request, StatusCodes.REQUEST_ENTITY_TOO_LARGE, RefusalReason.BODY_TOO_LARGE);
         } else if (bodyBytes.get() > MOST_BODY_BYTES_AT_ONCE) {
             refuse(exchange, request, StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.ACCOUNT_QUEUE_FULL);
-        } else if (!admission.admits(route.get())) {
+        } else if (!admission.admits(route.get().aim())) {
             exchange.setPersistent(false);
             refuse(exchange, request, StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.ROUTER_OVERLOADED);
         } else {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GateActions.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GateActions.java
@@ -111,12 +111,8 @@
     }
 
     private LogField account(long number) {
-        return LogField.of(
-                "account",
-                callers.call(number)
-                        .flatMap(call -> call.description().account())
-                        .map(Object::toString)
-                        .orElse(CallLog.NONE));
+        return CallLog.account(
+                callers.call(number).flatMap(call -> call.description().account()));
     }
 
     private void on(long number, Consumer<CallerExchange> work) {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.Collections;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -135,8 +137,7 @@
 
     /** How far this process is behind its callers: the longer of its threads' lags. */
     private Duration behind() {
-        Duration control = this.control.lag();
-        return control.compareTo(traffic.lag()) > 0 ? control : traffic.lag();
+        return Collections.max(List.of(control.lag(), traffic.lag()));
     }
 
     private GateState state() {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/LagAdmission.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/LagAdmission.java
@@ -3,8 +3,6 @@
 import java.time.Duration;
 import java.util.function.Supplier;
 
-import org.sassafrastrail.gate.Route;
-
 /** Admits a request if this process comes to it within the time that the request may be held. */
 final class LagAdmission implements Admission {
 
@@ -22,8 +20,8 @@
     }
 
     @Override
-    public boolean admits(Route route) {
-        return behind.get().toNanos() <= route.aim().toNanos() * mostHeldShareOfAim;
+    public boolean admits(Duration aim) {
+        return behind.get().toNanos() <= aim.toNanos() * mostHeldShareOfAim;
     }
 
     @Override
--- a/gateway/src/main/java/org/sassafrastrail/gateway/ThreadLag.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/ThreadLag.java
@@ -3,6 +3,8 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collections;
+import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -34,6 +36,6 @@
     Duration lag() {
         Instant since = waitingSince.get();
         Duration waiting = since == null ? Duration.ZERO : Duration.between(since, clock.instant());
-        return waiting.compareTo(last) > 0 ? waiting : last;
+        return Collections.max(List.of(waiting, last));
     }
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -163,25 +163,24 @@
         }
         try (PooledByteBuffer pooled = connection.getBufferPool().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
-            int turn = 0;
-            int count = fill(buffer);
-            while (count > 0 && turn < MOST_BUFFERS_IN_A_TURN) {
+            for (int turn = 0; turn < MOST_BUFFERS_IN_A_TURN; turn++) {
+                int count = fill(buffer);
+                if (count < 0) {
+                    whole();
+                    return;
+                }
+                if (count == 0) {
+                    listener.pauses();
+                    source.resumeReads();
+                    return;
+                }
                 buffer.flip();
                 if (!takes(buffer)) {
                     source.suspendReads();
                     return;
                 }
-                turn++;
-                count = turn < MOST_BUFFERS_IN_A_TURN ? fill(buffer) : count;
-            }
-            if (count < 0) {
-                whole();
-            } else if (count > 0) {
-                source.wakeupReads();
-            } else {
-                listener.pauses();
-                source.resumeReads();
             }
+            source.wakeupReads();
         } catch (IOException broken) {
             lost("answer not read: " + broken.getMessage());
         }
@@ -197,11 +196,6 @@
         return listener.takes(part) && !ended;
     }
 
-    /** Ends the attempt because its answer cannot be one. */
-    void reject(String cause) {
-        lost(cause);
-    }
-
     private int fill(ByteBuffer buffer) throws IOException {
         buffer.clear();
         return source.read(buffer);
@@ -216,8 +210,8 @@
         }
     }
 
-    /** The result is told first: closing the connection makes Undertow report a failure of its own. */
-    private void lost(String cause) {
+    /** Ends the attempt without a usable answer. The result is told first: closing the connection makes Undertow report a failure of its own. */
+    void lost(String cause) {
         end(answering ? new AttemptResult.Broken() : new AttemptResult.Lost(), cause);
         if (connection != null) {
             TransportClose.close(connection);
--- a/gateway/src/test/java/org/sassafrastrail/gateway/LagAdmissionTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/LagAdmissionTest.java
@@ -3,32 +3,16 @@
 import java.time.Duration;
 
 import org.junit.jupiter.api.Test;
-import org.pcollections.TreePVector;
-import org.sassafrastrail.gate.Route;
-import org.sassafrastrail.gate.WeightedTarget;
-import org.sassafrastrail.model.TargetName;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /** Which requests a process takes in that is behind. */
 class LagAdmissionTest {
 
-    private static final Route ROUTE = new Route(
-            "tell",
-            "host",
-            "/tell/",
-            TreePVector.singleton(new WeightedTarget(new TargetName("model"), 1)),
-            false,
-            false,
-            true,
-            true,
-            false,
-            1,
-            Duration.ofSeconds(4),
-            Duration.ofMillis(500));
+    private static final Duration AIM = Duration.ofMillis(500);
 
     private static boolean admits(long behindMilliseconds) {
-        return admission(behindMilliseconds).admits(ROUTE);
+        return admission(behindMilliseconds).admits(AIM);
     }
 
     private static Admission admission(long behindMilliseconds) {
