--- a/router-core/src/main/java/org/sassafrastrail/router/core/ArrivalHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/ArrivalHandler.java
@@ -47,8 +47,7 @@
                     ? Transition.<RouterState, RouterAction>stay(state)
                             .then(new RouterAction.ClaimKey(
                                     request, request.idempotencyKey().orElseThrow(), timings.keyRetry()))
-                    : refuse(rest, request.identifier(), RefusalReason.IDEMPOTENCY_STORE_UNAVAILABLE)
-                            .thenAll(Refusals.release(request));
+                    : Refusals.unclaimed(state, request);
         };
     }
 
--- a/router-core/src/main/java/org/sassafrastrail/router/core/Refusals.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/Refusals.java
@@ -18,6 +18,14 @@
                 .thenAll(release(waiting.request()));
     }
 
+    /** Ends a request whose idempotency key nobody could claim in time. */
+    static Transition<RouterState, RouterAction> unclaimed(RouterState state, RouterRequest request) {
+        return Transition.<RouterState, RouterAction>stay(
+                        state.withClaiming(state.claiming().minus(request.identifier())))
+                .then(new RouterAction.Refuse(request.identifier(), RefusalReason.IDEMPOTENCY_STORE_UNAVAILABLE))
+                .thenAll(release(request));
+    }
+
     /** Frees the idempotency key of a request that did not run, so that the caller may send it again. */
     static List<RouterAction> release(RouterRequest request) {
         return request.repeatable()
--- a/router-core/src/main/java/org/sassafrastrail/router/core/TickHandler.java
+++ b/router-core/src/main/java/org/sassafrastrail/router/core/TickHandler.java
@@ -63,11 +63,7 @@
         return Transition.<RouterState, RouterAction>stay(state)
                 .forEach(
                         state.claiming().values().stream().filter(request -> !now.isBefore(request.deadline())),
-                        (next, request) -> Transition.<RouterState, RouterAction>stay(
-                                        next.withClaiming(next.claiming().minus(request.identifier())))
-                                .then(new RouterAction.Refuse(
-                                        request.identifier(), RefusalReason.IDEMPOTENCY_STORE_UNAVAILABLE))
-                                .thenAll(Refusals.release(request)));
+                        Refusals::unclaimed);
     }
 
     private Transition<RouterState, RouterAction> endQuestions(RouterState state, Instant now) {
