--- a/gate-core/src/test/java/org/sassafrastrail/gate/Gate.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/Gate.java
@@ -66,6 +66,11 @@
     }
 
     static Route route(String name, TargetName target, boolean repeatable, boolean prompted, int mostUpstreams) {
+        return route(name, target, repeatable, prompted, mostUpstreams, Duration.ofSeconds(2));
+    }
+
+    static Route route(
+            String name, TargetName target, boolean repeatable, boolean prompted, int mostUpstreams, Duration timeout) {
         return new Route(
                 name,
                 "host",
@@ -77,11 +82,15 @@
                 prompted,
                 false,
                 mostUpstreams,
-                Duration.ofSeconds(2),
+                timeout,
                 Duration.ofMillis(500));
     }
 
     static Upstream upstream(String name, TargetName target) {
+        return upstream(name, target, 8);
+    }
+
+    static Upstream upstream(String name, TargetName target, int places) {
         return new Upstream(
                 new UpstreamIdentifier(name),
                 target,
@@ -89,7 +98,7 @@
                 8080,
                 new FailureDomainName("domain-" + name),
                 "v1",
-                8,
+                places,
                 false,
                 Duration.ZERO,
                 1);
--- a/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedFleet.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedFleet.java
@@ -30,6 +30,8 @@
     private static final double ANSWER_MILLISECONDS = 150;
     private static final double COME_BACK_MILLISECONDS = 350;
     private static final int RETRIES = 1;
+    private static final int PLACES = 128;
+    private static final Duration PATIENCE = Duration.ofSeconds(4);
 
     /** What the engines give out together with parts kept as they are kept here. */
     private static final double TOKENS_PER_SECOND = 2_500_000;
@@ -82,19 +84,7 @@
     private final Map<String, SimulatedEngine> engines = new HashMap<>();
     private final Map<Long, Asked> requests = new HashMap<>();
     private final GateCore core;
-    private final Route route = new Route(
-            "tell",
-            "host",
-            "/tell/",
-            TreePVector.singleton(new WeightedTarget(Gate.MODEL, 1)),
-            false,
-            false,
-            true,
-            true,
-            false,
-            1,
-            Duration.ofSeconds(4),
-            Duration.ofMillis(500));
+    private final Route route = Gate.route("tell", Gate.MODEL, false, true, 1, PATIENCE);
     private double now;
     private long orders;
     private long numbers;
@@ -104,7 +94,7 @@
         this.random = new Random(seed);
         PMap<UpstreamIdentifier, Upstream> registered = HashTreePMap.empty();
         for (int number = 0; number < engineCount; number++) {
-            Upstream engine = engine("engine-" + number);
+            Upstream engine = Gate.upstream("engine-" + number, Gate.MODEL, PLACES);
             registered = registered.plus(engine.identifier(), engine);
             engines.put(engine.identifier().value(), new SimulatedEngine());
         }
@@ -123,21 +113,6 @@
         });
     }
 
-    private static Upstream engine(String name) {
-        Upstream plain = Gate.upstream(name, Gate.MODEL);
-        return new Upstream(
-                plain.identifier(),
-                plain.target(),
-                plain.host(),
-                plain.port(),
-                plain.domain(),
-                plain.version(),
-                128,
-                false,
-                Duration.ZERO,
-                plain.born());
-    }
-
     private void at(double time, Runnable what) {
         happenings.add(new Happening(time, orders++, what));
     }
@@ -207,7 +182,7 @@
                                 Optional.of(new AccountName(asked.account())),
                                 asked.prompt(),
                                 instant,
-                                instant.plusSeconds(4))));
+                                instant.plus(PATIENCE))));
     }
 
     private Instant instant() {
