Limit what a connection reads from an upstream without progress

A faulty upstream that sends a status line, a head line, a chunk size or a trailer without an end was read until the route's time was up: Undertow's client puts no limit on them, and each byte stayed in its parser. Failures that are stored for delivery were limited one by one (1 MB) but not in sum.

Bodies over the memory for requests are refused as REQUEST_MEMORY_FULL, no longer as a full queue of the account.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -31,6 +31,8 @@
     /** Failure responses over this size are not stored. */
     private static final int MAX_STORED_FAILURE_BYTES = 1024 * 1024;
 
+    private static final String RESPONSE_MEMORY_FULL = "no memory left for buffered responses";
+
     private static final byte[] NO_BYTES = {};
 
     private final HttpServerExchange exchange;
@@ -41,6 +43,7 @@
     private final UpstreamConnectionPool connectionPool;
     private final Consumer<GatewayEvent> events;
     private final CallRecorder recorder;
+    private final BufferBudget responseBuffers;
     private final Clock clock;
     private final Optional<EventStreamSplitter> splitter;
     private final CallerResponse response;
@@ -54,6 +57,8 @@
     private ExchangeOutcome outcome = ExchangeOutcome.ANSWERED;
     private Runnable disconnectCheck = () -> {};
     private Optional<Duration> timeToFirstByte = Optional.empty();
+    private long reservedBytes;
+    private boolean finished;
 
     CallerExchange(
             HttpServerExchange exchange,
@@ -62,6 +67,7 @@
             UpstreamConnectionPool connectionPool,
             Consumer<GatewayEvent> events,
             CallRecorder recorder,
+            BufferBudget responseBuffers,
             Clock clock) {
         this.exchange = exchange;
         this.callNumber = request.number();
@@ -71,6 +77,7 @@
         this.connectionPool = connectionPool;
         this.events = events;
         this.recorder = recorder;
+        this.responseBuffers = responseBuffers;
         this.clock = clock;
         this.splitter = description.route().resumable() ? Optional.of(new EventStreamSplitter()) : Optional.empty();
         this.response = new CallerResponse(exchange, () -> attempt.resume(), this::callerDisconnected);
@@ -110,8 +117,28 @@
         exchange.getIoThread().execute(work);
     }
 
-    void markClosed() {
+    /** Ends the exchange: nothing more is written to the caller, and its buffers are released. */
+    void finish() {
         response.close();
+        finished = true;
+        reserve(0);
+    }
+
+    /** Reserves memory for the given number of buffered bytes in place of that reserved before. */
+    private boolean reserve(long bytes) {
+        long wanted = finished ? 0 : bytes;
+        if (wanted > reservedBytes && !responseBuffers.reserve(wanted - reservedBytes)) {
+            return false;
+        }
+        if (wanted < reservedBytes) {
+            responseBuffers.release(reservedBytes - wanted);
+        }
+        reservedBytes = wanted;
+        return true;
+    }
+
+    private int storedFailureBytes() {
+        return storedFailure.map(stored -> stored.body().length).orElse(0);
     }
 
     void dispatch(GatewayAction.Dispatch dispatch) {
@@ -197,6 +224,11 @@
             attempt.fail("event not terminated within the size limit");
             return false;
         }
+        if (!reserve(storedFailureBytes()
+                + splitter.map(EventStreamSplitter::partialBytes).orElse(0))) {
+            attempt.fail(RESPONSE_MEMORY_FULL);
+            return false;
+        }
         return response.write(responseHead, ready);
     }
 
@@ -205,6 +237,10 @@
         byte[] bytes = new byte[part.remaining()];
         part.get(bytes);
         soFar.writeBytes(bytes);
+        if (!reserve(storedFailureBytes() + soFar.size())) {
+            attempt.fail(RESPONSE_MEMORY_FULL);
+            return false;
+        }
         boolean failed = responseHead.kind() == ResponseKind.FAILED;
         if (soFar.size() <= (failed ? MAX_STORED_FAILURE_BYTES : MAX_BUFFERED_RESPONSE_BYTES)) {
             return true;
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -31,6 +31,9 @@
     /** The total size of request bodies held at once; more would not fit into the memory of the process. */
     private static final long MAX_BUFFERED_BODY_BYTES = 24L * 1024 * 1024;
 
+    /** The total size of what is buffered of upstreams' responses at once. */
+    private static final long MAX_BUFFERED_RESPONSE_BYTES = 12L * 1024 * 1024;
+
     private static final Duration RETRY_AFTER = Duration.ofMillis(500);
     private static final Duration DEFAULT_TIMEOUT = Duration.ofMinutes(1);
 
@@ -42,7 +45,8 @@
     private final Clock clock;
     private final ByteBufferPool buffers;
     private final AtomicLong callNumbers = new AtomicLong();
-    private final AtomicLong bodyBytes = new AtomicLong();
+    private final BufferBudget requestBuffers = new BufferBudget(MAX_BUFFERED_BODY_BYTES);
+    private final BufferBudget responseBuffers = new BufferBudget(MAX_BUFFERED_RESPONSE_BYTES);
     private final Map<Long, CallerExchange> calls = new ConcurrentHashMap<>();
     private final OpenConnections openConnections;
     private final Map<XnioIoThread, UpstreamConnectionPool> upstreamPools = new ConcurrentHashMap<>();
@@ -101,8 +105,8 @@
             refuse(exchange, request, account, StatusCodes.BAD_REQUEST, RefusalReason.MALFORMED_REQUEST);
         } else if (exchange.getRequestContentLength() > configuration.maxBodyBytes()) {
             refuse(exchange, request, account, StatusCodes.REQUEST_ENTITY_TOO_LARGE, RefusalReason.BODY_TOO_LARGE);
-        } else if (bodyBytes.get() > MAX_BUFFERED_BODY_BYTES) {
-            refuse(exchange, request, account, StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.ACCOUNT_QUEUE_FULL);
+        } else if (requestBuffers.isExhausted()) {
+            refuse(exchange, request, account, StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.REQUEST_MEMORY_FULL);
         } else if (!admission.admits(route.get().latencyTarget(), sender(account, route.get()))) {
             recorder.stepReached(
                     account,
@@ -155,12 +159,21 @@
     }
 
     private void bodyRead(HttpServerExchange exchange, long number, CallDescription description, byte[] body) {
+        if (!requestBuffers.reserve(body.length)) {
+            refuse(
+                    exchange,
+                    description.request(),
+                    description.account(),
+                    StatusCodes.SERVICE_UNAVAILABLE,
+                    RefusalReason.REQUEST_MEMORY_FULL);
+            return;
+        }
         UpstreamConnectionPool pool = upstreamPools.computeIfAbsent(
                 exchange.getIoThread(), thread -> new UpstreamConnectionPool(thread, buffers));
         CallerRequest request = new CallerRequest(number, description, body);
-        CallerExchange call = new CallerExchange(exchange, request, protocol, pool, events, recorder, clock);
+        CallerExchange call =
+                new CallerExchange(exchange, request, protocol, pool, events, recorder, responseBuffers, clock);
         calls.put(number, call);
-        bodyBytes.addAndGet(body.length);
         exchange.addExchangeCompleteListener((done, next) -> {
             finish(number);
             next.proceed();
@@ -181,8 +194,8 @@
     private void finish(long number) {
         CallerExchange call = calls.remove(number);
         if (call != null) {
-            call.markClosed();
-            bodyBytes.addAndGet(-call.bodyBytes());
+            call.finish();
+            requestBuffers.release(call.bodyBytes());
             Duration duration = Duration.between(call.description().arrivedAt(), clock.instant());
             recorder.finished(new FinishedCall(
                     call.description(), call.status(), call.outcome(), call.timeToFirstByte(), duration));
--- a/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamSplitter.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamSplitter.java
@@ -45,6 +45,11 @@
         return partial.size() > MAX_EVENT_BYTES;
     }
 
+    /** Returns the size of the incomplete event. */
+    int partialBytes() {
+        return partial.size();
+    }
+
     /** Returns and removes what follows the last complete event, at the end of a complete stream. */
     byte[] remainder() {
         byte[] all = partial.toByteArray();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -12,7 +12,6 @@
 import java.util.function.Supplier;
 
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
@@ -50,7 +49,7 @@
     private final UpstreamConnectionPool connectionPool;
     private final AttemptListener listener;
 
-    private ClientConnection connection;
+    private UpstreamConnection connection;
     private StreamSourceChannel source;
     private Duration keepAlive = DEFAULT_KEEP_ALIVE;
     private boolean ended;
@@ -83,19 +82,20 @@
     void cancel() {
         ended = true;
         if (connection != null) {
-            TransportCloser.close(connection);
+            TransportCloser.close(connection.client());
         }
     }
 
-    private void sendRequest(ClientConnection opened) {
+    private void sendRequest(UpstreamConnection opened) {
         if (ended) {
-            TransportCloser.close(opened);
+            TransportCloser.close(opened.client());
             return;
         }
         Optional<ClientRequest> ready = requestSupplier.get();
         if (ready.isPresent()) {
             connection = opened;
-            connection.sendRequest(ready.get(), callback(this::requestSent, this::fail));
+            connection.readLimit().progressMade();
+            connection.client().sendRequest(ready.get(), callback(this::requestSent, this::fail));
         } else {
             connectionPool.release(upstream, opened, DEFAULT_KEEP_ALIVE);
             end(new AttemptResult.NotConnected(), "caller disconnected or deadline passed before the request was sent");
@@ -149,7 +149,7 @@
             end(
                     kind == ResponseKind.DECLINED ? new AttemptResult.Declined() : new AttemptResult.WrongUpstream(),
                     "status " + response.getResponseCode());
-            TransportCloser.close(connection);
+            TransportCloser.close(connection.client());
             return;
         }
         responseStarted = true;
@@ -170,7 +170,7 @@
         if (ended) {
             return;
         }
-        try (PooledByteBuffer pooled = connection.getBufferPool().allocate()) {
+        try (PooledByteBuffer pooled = connection.client().getBufferPool().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
             for (int round = 0; round < MAX_BUFFERS_PER_READ; round++) {
                 int count = fill(buffer);
@@ -197,6 +197,7 @@
 
     /** Returns false if the listener can accept no more for now, or if the attempt has ended. */
     private boolean deliver(ByteBuffer part) {
+        connection.readLimit().progressMade();
         responseBytes += part.remaining();
         if (responseBytes > MAX_RESPONSE_BYTES) {
             fail("response over " + MAX_RESPONSE_BYTES + " bytes");
@@ -213,7 +214,7 @@
     private void completed() {
         end(new AttemptResult.Delivered(), "");
         if (keepAlive.isZero()) {
-            TransportCloser.close(connection);
+            TransportCloser.close(connection.client());
         } else {
             connectionPool.release(upstream, connection, keepAlive);
         }
@@ -226,7 +227,7 @@
     void fail(String cause) {
         end(responseStarted ? new AttemptResult.Broken() : new AttemptResult.Lost(), cause);
         if (connection != null) {
-            TransportCloser.close(connection);
+            TransportCloser.close(connection.client());
         }
     }
 
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnectionPool.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.URI;
+import java.net.URISyntaxException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -29,26 +30,26 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
-    private final XnioIoThread thread;
+    private final LimitedConnectionThread thread;
     private final ByteBufferPool buffers;
     private final Map<String, Deque<IdleConnection>> idle = new HashMap<>();
 
     UpstreamConnectionPool(XnioIoThread thread, ByteBufferPool buffers) {
-        this.thread = thread;
+        this.thread = new LimitedConnectionThread(thread);
         this.buffers = buffers;
     }
 
     /** An idle connection and the time until which it can be reused, by {@link System#nanoTime}. */
-    private record IdleConnection(ClientConnection connection, long usableUntilNanos) {
+    private record IdleConnection(UpstreamConnection connection, long usableUntilNanos) {
 
         boolean isUsable() {
-            return connection.isOpen() && System.nanoTime() - usableUntilNanos < 0;
+            return connection.client().isOpen() && System.nanoTime() - usableUntilNanos < 0;
         }
     }
 
     /** Passes an idle or a new connection to the callback, or a failure if none could be opened in time. */
-    void open(Upstream upstream, ClientCallback<ClientConnection> callback) {
-        Optional<ClientConnection> idleConnection = takeIdle(address(upstream));
+    void open(Upstream upstream, ClientCallback<UpstreamConnection> callback) {
+        Optional<UpstreamConnection> idleConnection = takeIdle(address(upstream));
         if (idleConnection.isPresent()) {
             callback.completed(idleConnection.get());
             return;
@@ -57,27 +58,31 @@
         XnioExecutor.Key timer =
                 thread.executeAfter(connecting::timedOut, CONNECT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
         connecting.timer = timer;
-        UndertowClient.getInstance()
-                .connect(connecting, URI.create("http://" + address(upstream)), thread, buffers, OPTIONS);
+        try {
+            URI uri = new URI("http", null, upstream.host(), upstream.port(), null, null, null);
+            UndertowClient.getInstance().connect(connecting, uri, thread, buffers, OPTIONS);
+        } catch (URISyntaxException | IllegalArgumentException invalid) {
+            connecting.failed(new IOException("invalid address " + address(upstream), invalid));
+        }
     }
 
     /** Returns a connection without a request in flight to the pool. */
-    void release(Upstream upstream, ClientConnection connection, Duration keepAlive) {
-        if (connection.isOpen()) {
+    void release(Upstream upstream, UpstreamConnection connection, Duration keepAlive) {
+        if (connection.client().isOpen()) {
             long usable = Math.round(keepAlive.toNanos() * USABLE_SHARE_OF_KEEP_ALIVE);
             idle.computeIfAbsent(address(upstream), address -> new ArrayDeque<>())
                     .push(new IdleConnection(connection, System.nanoTime() + usable));
         }
     }
 
-    private Optional<ClientConnection> takeIdle(String address) {
+    private Optional<UpstreamConnection> takeIdle(String address) {
         Deque<IdleConnection> connections = idle.getOrDefault(address, new ArrayDeque<>());
         while (!connections.isEmpty()) {
             IdleConnection next = connections.pop();
             if (next.isUsable()) {
                 return Optional.of(next.connection());
             }
-            TransportCloser.close(next.connection());
+            TransportCloser.close(next.connection().client());
         }
         return Optional.empty();
     }
@@ -87,13 +92,13 @@
     }
 
     /** Completes once: with the connection, or with a failure if it was not opened in time. */
-    private static final class ConnectCallback implements ClientCallback<ClientConnection> {
+    private final class ConnectCallback implements ClientCallback<ClientConnection> {
 
-        private final ClientCallback<ClientConnection> callback;
+        private final ClientCallback<UpstreamConnection> callback;
         private XnioExecutor.Key timer;
         private boolean done;
 
-        ConnectCallback(ClientCallback<ClientConnection> callback) {
+        ConnectCallback(ClientCallback<UpstreamConnection> callback) {
             this.callback = callback;
         }
 
@@ -105,7 +110,7 @@
             }
             done = true;
             timer.remove();
-            callback.completed(connection);
+            callback.completed(new UpstreamConnection(connection, thread.lastLimit()));
         }
 
         @Override
--- /dev/null
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/BufferBudgetTest.java
@@ -0,0 +1,27 @@
+package org.sassafrastrail.gateway;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Tests the limit on the memory for buffered requests or responses. */
+class BufferBudgetTest {
+
+    private final BufferBudget budget = new BufferBudget(100);
+
+    @Test
+    void reservationsOverTheLimitAreRejected() {
+        assertThat(budget.reserve(60)).isTrue();
+        assertThat(budget.reserve(41)).isFalse();
+        assertThat(budget.reserve(40)).isTrue();
+        assertThat(budget.isExhausted()).isTrue();
+    }
+
+    @Test
+    void releasedMemoryCanBeReservedAgain() {
+        budget.reserve(100);
+        budget.release(30);
+        assertThat(budget.isExhausted()).isFalse();
+        assertThat(budget.reserve(30)).isTrue();
+    }
+}
--- a/model/src/main/java/org/sassafrastrail/model/RefusalReason.java
+++ b/model/src/main/java/org/sassafrastrail/model/RefusalReason.java
@@ -12,6 +12,8 @@
     MALFORMED_REQUEST,
     /** The body is larger than the router accepts. */
     BODY_TOO_LARGE,
+    /** The bodies of the requests in flight use all memory that this process has for them. */
+    REQUEST_MEMORY_FULL,
     /** The account already has as many queued requests at this router as its rule allows. */
     ACCOUNT_QUEUE_FULL,
     /** The request was queued until its deadline and no upstream accepted it. */
