--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -94,7 +94,16 @@
         // Of two registered gateways, the one with the smaller address dials, so that there is one link between them.
         gateways.stream()
                 .filter(address -> settings.links().compareTo(address) < 0)
-                .forEach(this::dial);
+                .forEach(this::dialIfValid);
+    }
+
+    /** Dials a registered address. One invalid registration does not keep the others from being dialed. */
+    private void dialIfValid(String address) {
+        try {
+            dial(address);
+        } catch (IllegalArgumentException invalid) {
+            log.warn("peer-address-invalid", LogField.of("address", address), LogField.of("cause", invalid));
+        }
     }
 
     private void dial(String address) {
