Give every request that a stopping gateway takes its final response

New requests are admitted for the first 2.7 s; later ones are refused as ROUTER_STOPPING and not forwarded. Requests that run expire 200 ms before the end of the drain time, which is also the time that upstreams are told, and the process waits until the responses are written.

--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/process/ProcessFleet.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/process/ProcessFleet.java
@@ -19,6 +19,7 @@
 import org.sassafrastrail.router.RouterSettings;
 import org.sassafrastrail.rules.KeyDigest;
 import org.sassafrastrail.sidecar.SidecarSettings;
+import org.sassafrastrail.standins.FreePorts;
 import org.sassafrastrail.standins.StandInSettings;
 
 /**
--- a/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
@@ -102,7 +102,7 @@
                 .allowsRetry(now, limits.retryShare(), limits.retryExtra() / gateways);
         return safeToRetry
                 && requeued.upstreamsReached() < route.maxUpstreams()
-                && now.isBefore(requeued.description().expiresAt())
+                && now.isBefore(limits.drain().expiresAt(requeued.description(), state.stoppingSince()))
                 && withinBudget;
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
@@ -22,6 +22,9 @@
         CallDescription description = event.description();
         WeightedTarget target = description.route().target((int) StableHash.of(description.request()));
         Call call = Call.arrived(event.call(), description, target.target(), now);
+        if (!limits.drain().admits(state.stoppingSince(), now)) {
+            return refuse(state, call, RefusalReason.ROUTER_STOPPING, now);
+        }
         GatewayState recorded = state.with(
                         target.target(), state.retryBudget(target.target()).withRequest(now))
                 .with(state.shares()
@@ -60,12 +63,15 @@
     Transition<GatewayState, GatewayAction> expire(GatewayState state, Instant now) {
         return Transition.<GatewayState, GatewayAction>to(state)
                 .forEach(
-                        state.calls().values().stream()
-                                .filter(call -> !now.isBefore(call.description().expiresAt())),
+                        state.calls().values().stream().filter(call -> !now.isBefore(expiresAt(state, call))),
                         (next, call) -> expireCall(next, call, now))
                 .and(next -> refuseQueuedTooLong(next, now));
     }
 
+    private Instant expiresAt(GatewayState state, Call call) {
+        return limits.drain().expiresAt(call.description(), state.stoppingSince());
+    }
+
     private Transition<GatewayState, GatewayAction> expireCall(GatewayState state, Call call, Instant now) {
         if (call.isQueued()) {
             return refuse(state, call, RefusalReason.DEADLINE_EXCEEDED, now);
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
@@ -1,6 +1,7 @@
 package org.sassafrastrail.gate;
 
 import java.time.Duration;
+import java.time.Instant;
 
 import org.sassafrastrail.model.RefusalReason;
 
@@ -13,7 +14,8 @@
      * @param call the request
      * @param attempt the number of the attempt
      * @param upstream the chosen upstream
-     * @param remainingTime the time left until the request expires
+     * @param dispatchedAt the time of the decision
+     * @param expiresAt when the request must have its final response
      * @param timeSinceArrival the time since the request arrived
      * @param pendingPrefillTokens the estimated tokens that the upstream prefills before this request
      * @param prefillTokens the estimated prompt tokens that the upstream has not cached and must prefill
@@ -22,11 +24,22 @@
             long call,
             int attempt,
             Upstream upstream,
-            Duration remainingTime,
+            Instant dispatchedAt,
+            Instant expiresAt,
             Duration timeSinceArrival,
             long pendingPrefillTokens,
             long prefillTokens)
-            implements GatewayAction {}
+            implements GatewayAction {
+
+        /**
+         * Returns the time left for the response.
+         *
+         * @return the time from the decision until the request expires
+         */
+        public Duration remainingTime() {
+            return Duration.between(dispatchedAt, expiresAt);
+        }
+    }
 
     /**
      * Refuse the request, which has not been executed and will not be.
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayLimits.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayLimits.java
@@ -19,8 +19,7 @@
  * @param ejectionThreshold the number of consecutive failures after which an upstream is ejected
  * @param ejectionDuration how long an ejected upstream gets no requests
  * @param reportSpacing the average time between two reports that a gateway receives, over all its peers
- * @param minDrainTime how long a stopping gateway keeps serving its open connections
- * @param maxDrainTime the time after which a stopping gateway exits even if requests are still running
+ * @param drain the times of a graceful shutdown
  */
 public record GatewayLimits(
         double prefillTokensPerMillisecond,
@@ -36,5 +35,4 @@
         int ejectionThreshold,
         Duration ejectionDuration,
         Duration reportSpacing,
-        Duration minDrainTime,
-        Duration maxDrainTime) {}
+        DrainSchedule drain) {}
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -158,7 +158,7 @@
         return upstream.recentColdDispatches(now).size() + 1 <= Math.max(1, Math.floor(maxDispatches));
     }
 
-    private static Transition<GatewayState, GatewayAction> dispatch(
+    private Transition<GatewayState, GatewayAction> dispatch(
             GatewayState state, Call call, Placement.Choice choice, Instant now) {
         Attempt attempt = new Attempt(
                 call.attempts() + 1, choice.candidate().upstream().upstream(), choice.prefillTokens(), true);
@@ -174,7 +174,8 @@
                 call.number(),
                 attempt.number(),
                 choice.candidate().upstream().upstream(),
-                Duration.between(now, call.description().expiresAt()),
+                now,
+                limits.drain().expiresAt(call.description(), state.stoppingSince()),
                 Duration.between(call.description().arrivedAt(), now),
                 choice.candidate().pendingPrefillTokens(),
                 choice.prefillTokens());
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
@@ -1,6 +1,5 @@
 package org.sassafrastrail.gate;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
 import java.util.stream.Collectors;
@@ -73,13 +72,8 @@
     }
 
     private Transition<GatewayState, GatewayAction> checkDrained(GatewayState state, Instant now) {
-        boolean drained = state.stoppingSince()
-                .map(since -> Duration.between(since, now))
-                .filter(passed -> passed.compareTo(limits.maxDrainTime()) >= 0
-                        || state.calls().isEmpty() && passed.compareTo(limits.minDrainTime()) >= 0)
-                .isPresent();
         Transition<GatewayState, GatewayAction> stay = Transition.to(state);
-        return drained ? stay.then(new GatewayAction.Drained()) : stay;
+        return limits.drain().isDrained(state, now) ? stay.then(new GatewayAction.Drained()) : stay;
     }
 
     Transition<GatewayState, GatewayAction> stopRequested(
--- a/gate-core/src/test/java/org/sassafrastrail/gate/FairShareTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/FairShareTest.java
@@ -33,8 +33,7 @@
             3,
             Duration.ofSeconds(2),
             Duration.ofMillis(4),
-            Duration.ofSeconds(1),
-            Duration.ofSeconds(5));
+            GatewayDriver.LIMITS.drain());
 
     /**
      * Guards against FAIR: an account was served less than half of its demand while another was served many times as
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
@@ -503,13 +503,42 @@
         assertThat(gateway.state().upstreams().get(next.identifier()).running()).isZero();
     }
 
+    @Test
+    void requestArrivingLateInShutdownIsRefusedAndNotForwarded() {
+        registerServices();
+        gateway.handle(new GatewayEvent.StopRequested());
+        gateway.advance(GatewayDriver.LIMITS.drain().admission());
+        List<GatewayAction> actions = gateway.arrive(1, PLAIN_ROUTE);
+        assertThat(GatewayDriver.dispatchedTo(actions)).isEmpty();
+        assertThat(GatewayDriver.first(actions, GatewayAction.Refuse.class))
+                .map(GatewayAction.Refuse::reason)
+                .contains(RefusalReason.ROUTER_STOPPING);
+    }
+
+    @Test
+    void requestRunningAtEndOfShutdownGetsFinalResponseBeforeProcessExits() {
+        registerServices();
+        Route longRoute = GatewayDriver.route("long", GatewayDriver.SERVICE, false, false, 1, Duration.ofSeconds(100));
+        DrainSchedule drain = GatewayDriver.LIMITS.drain();
+        Duration late = drain.admission().minusMillis(1);
+        gateway.handle(new GatewayEvent.StopRequested());
+        gateway.advance(late);
+        assertThat(GatewayDriver.first(gateway.arrive(1, longRoute), GatewayAction.Dispatch.class))
+                .map(GatewayAction.Dispatch::remainingTime)
+                .contains(drain.lastResponse().minus(late));
+        List<GatewayAction> actions = gateway.advance(drain.maximum().minus(late));
+        assertThat(actions)
+                .contains(new GatewayAction.ReportUnknownOutcome(1, true))
+                .contains(new GatewayAction.Drained());
+    }
+
     @Test
     void stoppingGatewayIsDrainedWhenNoRequestRuns() {
         registerServices();
         gateway.arrive(1, PLAIN_ROUTE);
         gateway.handle(new GatewayEvent.StopRequested());
         assertThat(gateway.state().ready()).isFalse();
-        assertThat(gateway.advance(GatewayDriver.LIMITS.minDrainTime())).isEmpty();
+        assertThat(gateway.advance(GatewayDriver.LIMITS.drain().minimum())).isEmpty();
         gateway.endAttempt(1, 1, new AttemptResult.Delivered());
         assertThat(gateway.advance(Duration.ofMillis(1))).containsExactly(new GatewayAction.Drained());
     }
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GatewayDriver.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GatewayDriver.java
@@ -36,8 +36,8 @@
             3,
             Duration.ofSeconds(2),
             Duration.ofMillis(100),
-            Duration.ofSeconds(1),
-            Duration.ofSeconds(5));
+            new DrainSchedule(
+                    Duration.ofSeconds(1), Duration.ofSeconds(1), Duration.ofMillis(4800), Duration.ofSeconds(5)));
 
     private final GatewayCore core = new GatewayCore(LIMITS);
     private GatewayState state = GatewayState.start(Duration.ofSeconds(4));
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 import java.util.function.Consumer;
 
@@ -50,6 +51,7 @@
 
     private UpstreamAttempt attempt;
     private int attemptNumber;
+    private Instant expiresAt = Instant.MAX;
     private Upstream upstream;
     private UpstreamResponseHead responseHead;
     private Optional<ByteArrayOutputStream> buffered = Optional.empty();
@@ -146,6 +148,7 @@
             return;
         }
         attemptNumber = dispatch.attempt();
+        expiresAt = dispatch.expiresAt();
         upstream = dispatch.upstream();
         responseHead = null;
         splitter.ifPresent(EventStreamSplitter::discardPartial);
@@ -161,7 +164,7 @@
         if (response.isClosed()) {
             return Optional.empty();
         }
-        Duration timeLeft = Duration.between(clock.instant(), description.expiresAt());
+        Duration timeLeft = Duration.between(clock.instant(), expiresAt);
         if (timeLeft.isNegative() || timeLeft.isZero()) {
             return Optional.empty();
         }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -191,8 +192,33 @@
         openConnections.closeWhenIdle();
     }
 
+    /** Waits until no request is in flight, because its response has been written, or until the timeout has passed. */
+    void awaitFinished(Duration timeout) {
+        long deadline = System.nanoTime() + timeout.toNanos();
+        synchronized (calls) {
+            long remaining = timeout.toNanos();
+            while (!calls.isEmpty() && remaining > 0) {
+                try {
+                    TimeUnit.NANOSECONDS.timedWait(calls, remaining);
+                } catch (InterruptedException interrupted) {
+                    Thread.currentThread().interrupt();
+                    return;
+                }
+                remaining = deadline - System.nanoTime();
+            }
+        }
+    }
+
+    private CallerExchange removeCall(long number) {
+        synchronized (calls) {
+            CallerExchange removed = calls.remove(number);
+            calls.notifyAll();
+            return removed;
+        }
+    }
+
     private void finish(long number) {
-        CallerExchange call = calls.remove(number);
+        CallerExchange call = removeCall(number);
         if (call != null) {
             call.finish();
             requestBuffers.release(call.bodyBytes());
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -12,6 +12,7 @@
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.StatusCodes;
+import org.sassafrastrail.gate.DrainSchedule;
 import org.sassafrastrail.gate.GatewayAction;
 import org.sassafrastrail.gate.GatewayCore;
 import org.sassafrastrail.gate.GatewayEvent;
@@ -35,11 +36,7 @@
 
     private static final Duration TICK = Duration.ofMillis(25);
 
-    /**
-     * The platform checks readiness every second and needs two failed checks; one more second lets connections arrive that
-     * callers are opening.
-     */
-    private static final Duration ACCEPT_AFTER_STOP_REQUEST = Duration.ofMillis(2700);
+    private static final Duration WRITE_TIME_OF_LAST_RESPONSES = Duration.ofMillis(200);
 
     private static final int BUFFER_BYTES = 16 * 1024;
 
@@ -180,18 +177,20 @@
     /**
      * Shuts down gracefully. Reports not ready at once, and rejects new connections after the platform has had time to
      * notice. Then closes each open connection as it becomes idle, because a response whose head was sent before could not
-     * announce the close. Ends when no request is in flight, or when the drain time is over.
+     * announce the close. Ends when each request has its final response, or when the drain time is over.
      */
     @Override
     public void stop() {
         log.info("stopping", LogField.of("node", settings.node()));
         post(new GatewayEvent.StopRequested());
-        boolean drainedAlready = awaitDrained(ACCEPT_AFTER_STOP_REQUEST);
+        DrainSchedule drain = settings.limits().drain();
+        boolean drainedAlready = awaitDrained(drain.admission());
         callerListener.stopAccepting();
         callers.closeWhenIdle();
         if (!drainedAlready) {
-            awaitDrained(settings.limits().maxDrainTime().minus(ACCEPT_AFTER_STOP_REQUEST));
+            awaitDrained(drain.maximum().minus(drain.admission()));
         }
+        callers.awaitFinished(WRITE_TIME_OF_LAST_RESPONSES);
         stopWatching.run();
         callerListener.stop();
         readinessListener.stop();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 
+import org.sassafrastrail.gate.DrainSchedule;
 import org.sassafrastrail.gate.GatewayLimits;
 
 /**
@@ -56,7 +57,20 @@
     private static final int EJECTION_THRESHOLD = 3;
     private static final Duration EJECTION_DURATION = Duration.ofSeconds(2);
     private static final Duration REPORT_SPACING = Duration.ofMillis(4);
-    private static final Duration MIN_DRAIN_TIME = Duration.ofMillis(3500);
+
+    /**
+     * The platform checks readiness every second and needs two failed checks; one more second lets connections arrive that
+     * callers are opening.
+     */
+    private static final Duration MAX_ADMISSION_WHILE_STOPPING = Duration.ofMillis(2700);
+
+    /** The part of the drain time for new requests; the rest is for responses to them. */
+    private static final double MAX_ADMISSION_SHARE = 0.4;
+
+    private static final Duration MIN_DRAIN_AFTER_ADMISSION = Duration.ofMillis(800);
+
+    /** The time to write the last responses before the process exits. */
+    private static final Duration WRITE_TIME = Duration.ofMillis(200);
 
     /** The part of the grace time that is reserved for the exit of the process. */
     private static final Duration EXIT_TIME = Duration.ofMillis(800);
@@ -83,8 +97,16 @@
                 EJECTION_THRESHOLD,
                 EJECTION_DURATION,
                 REPORT_SPACING,
-                MIN_DRAIN_TIME,
-                seconds(orDefault(graceSeconds, DEFAULT_GRACE_SECONDS)).minus(EXIT_TIME));
+                drain());
+    }
+
+    private DrainSchedule drain() {
+        Duration maximum =
+                seconds(orDefault(graceSeconds, DEFAULT_GRACE_SECONDS)).minus(EXIT_TIME);
+        Duration admission = Duration.ofMillis(Math.min(
+                MAX_ADMISSION_WHILE_STOPPING.toMillis(), Math.round(maximum.toMillis() * MAX_ADMISSION_SHARE)));
+        return new DrainSchedule(
+                admission, admission.plus(MIN_DRAIN_AFTER_ADMISSION), maximum.minus(WRITE_TIME), maximum);
     }
 
     /**
--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/process/FreePorts.java
+++ b/standins/src/main/java/org/sassafrastrail/standins/FreePorts.java
@@ -1,4 +1,4 @@
-package org.sassafrastrail.acceptance.process;
+package org.sassafrastrail.standins;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -10,7 +10,7 @@
  * Finds free ports below the ephemeral port range, so that no outgoing connection takes a port before the program that
  * will listen on it has started.
  */
-final class FreePorts {
+public final class FreePorts {
 
     private static final int FIRST = 24_000;
     private static final int LAST = 32_000;
@@ -19,7 +19,12 @@
 
     private FreePorts() {}
 
-    static int next() {
+    /**
+     * Returns a port of the loopback address that is free and was not returned before.
+     *
+     * @return the port
+     */
+    public static int next() {
         return IntStream.generate(() -> FIRST + NEXT.getAndIncrement() % (LAST - FIRST))
                 .filter(FreePorts::isFree)
                 .findFirst()
