Divide the rate of a cold upstream among gateways without rounding up

The rate is now divided by the names of the registered gateways: parts differ by one, their sum is the rate, and a hash of gateway and upstream decides who has the larger ones.

Before (the old formula under gatewaysTogetherKeepToRateOfColdUpstream): fails for 22, 33 and 360 gateways. After: passes for 1, 3, 22, 33 and 360.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
@@ -75,9 +75,9 @@
         return scheduler.dispatchAll(state.withDomainsOut(event.domains()), now);
     }
 
-    Transition<GatewayState, GatewayAction> gatewayCountChanged(
-            GatewayState state, GatewayEvent.GatewayCountChanged event, Instant now) {
-        return Transition.to(state.with(state.peers().withGatewayCount(event.gateways())));
+    Transition<GatewayState, GatewayAction> gatewaysChanged(
+            GatewayState state, GatewayEvent.GatewaysChanged event, Instant now) {
+        return Transition.to(state.with(state.peers().withRegistered(event.gateways())));
     }
 
     Transition<GatewayState, GatewayAction> peerConnected(
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
@@ -30,7 +30,7 @@
                 .on(GatewayEvent.ConfigurationReceived.class, clusterState::configurationReceived)
                 .on(GatewayEvent.UpstreamsChanged.class, clusterState::upstreamsChanged)
                 .on(GatewayEvent.DomainsOutChanged.class, clusterState::domainsOutChanged)
-                .on(GatewayEvent.GatewayCountChanged.class, clusterState::gatewayCountChanged)
+                .on(GatewayEvent.GatewaysChanged.class, clusterState::gatewaysChanged)
                 .on(GatewayEvent.PeerConnected.class, clusterState::peerConnected)
                 .on(GatewayEvent.PeerReportReceived.class, clusterState::peerReportReceived)
                 .on(GatewayEvent.PeerDisconnected.class, clusterState::peerDisconnected)
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
@@ -61,11 +61,11 @@
     record DomainsOutChanged(PSet<FailureDomainName> domains) implements GatewayEvent {}
 
     /**
-     * The number of gateways changed.
+     * The registered gateways changed.
      *
-     * @param gateways the number of gateways that share the upstreams, including this one
+     * @param gateways the names of the gateways that share the upstreams, including this one
      */
-    record GatewayCountChanged(int gateways) implements GatewayEvent {}
+    record GatewaysChanged(PSet<String> gateways) implements GatewayEvent {}
 
     /**
      * A link to another gateway was opened.
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -40,17 +40,18 @@
     /**
      * Creates the initial state.
      *
+     * @param gateway the name of this gateway
      * @param quotaWindow the time over which client accounts share capacity
      * @return the state
      */
-    public static GatewayState start(Duration quotaWindow) {
+    public static GatewayState start(String gateway, Duration quotaWindow) {
         return new GatewayState(
                 Optional.empty(),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
                 OrderedPSet.empty(),
                 HashTreePSet.empty(),
-                Peers.NONE,
+                Peers.none(gateway),
                 AccountShares.forQuotaWindow(quotaWindow),
                 HashTreePMap.empty(),
                 Optional.empty());
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
@@ -2,32 +2,38 @@
 
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Stream;
 
 /**
  * The other gateways, and the load that they put on upstreams.
  *
- * @param registered the number of registered gateways, including this one
+ * @param self the name of this gateway
+ * @param registered the names of the registered gateways, empty until they are known
  * @param reports the load of each connected gateway at upstreams
  * @param loads the total load of the connected gateways at each upstream
  * @param lastReport the last report that this gateway sent
  */
 record Peers(
-        int registered,
+        String self,
+        Set<String> registered,
         Map<String, Map<UpstreamIdentifier, PeerLoad>> reports,
         Map<UpstreamIdentifier, PeerLoad> loads,
         LastReport lastReport) {
 
-    static final Peers NONE = new Peers(1, Map.of(), Map.of(), LastReport.NONE);
+    static Peers none(String self) {
+        return new Peers(self, Set.of(), Map.of(), Map.of(), LastReport.NONE);
+    }
 
-    Peers withGatewayCount(int gateways) {
-        return new Peers(Math.max(1, gateways), reports, loads, lastReport);
+    Peers withRegistered(Set<String> gateways) {
+        return new Peers(self, gateways, reports, loads, lastReport);
     }
 
     /** Adds a peer. It has received no report yet, so the next report is a full one. */
     Peers withConnected(String peer) {
-        Peers unreported = new Peers(registered, reports, loads, LastReport.NONE);
+        Peers unreported = new Peers(self, registered, reports, loads, LastReport.NONE);
         return reports.containsKey(peer) ? unreported : unreported.withReport(peer, GatewayReport.NOTHING);
     }
 
@@ -44,7 +50,8 @@
                         loadIn(loads, upstream).minus(loadIn(before, upstream)).plus(loadIn(after, upstream))));
         Map<String, Map<UpstreamIdentifier, PeerLoad>> next = new HashMap<>(reports);
         next.put(peer, Collections.unmodifiableMap(after));
-        return new Peers(registered, Collections.unmodifiableMap(next), Collections.unmodifiableMap(sums), lastReport);
+        return new Peers(
+                self, registered, Collections.unmodifiableMap(next), Collections.unmodifiableMap(sums), lastReport);
     }
 
     private static Stream<UpstreamIdentifier> changedUpstreams(
@@ -69,16 +76,40 @@
         Peers without = withReport(peer, GatewayReport.NOTHING);
         Map<String, Map<UpstreamIdentifier, PeerLoad>> remaining = new HashMap<>(without.reports);
         remaining.remove(peer);
-        return new Peers(registered, Collections.unmodifiableMap(remaining), without.loads, lastReport);
+        return new Peers(self, registered, Collections.unmodifiableMap(remaining), without.loads, lastReport);
     }
 
     Peers withLastReport(LastReport next) {
-        return new Peers(registered, reports, loads, next);
+        return new Peers(self, registered, reports, loads, next);
     }
 
     /** Returns how many gateways share the upstreams. */
     int gateways() {
-        return Math.max(registered, connectedGateways());
+        return Math.max(registered.size(), connectedGateways());
+    }
+
+    /**
+     * Returns this gateway's part of a number that all gateways divide among themselves. The parts add up to the number
+     * if all know the same gateways, also where it is smaller than their count. For another key, other gateways get the
+     * larger parts.
+     *
+     * @param total the number to divide
+     * @param key what it is divided for
+     */
+    int partOf(int total, String key) {
+        Set<String> members = new HashSet<>(registered);
+        members.add(self);
+        members.addAll(reports.keySet());
+        long ownHash = rankingHash(self, key);
+        long before = members.stream()
+                .filter(member -> !member.equals(self))
+                .filter(member -> rankingHash(member, key) < ownHash)
+                .count();
+        return total / members.size() + (before < total % members.size() ? 1 : 0);
+    }
+
+    private static long rankingHash(String gateway, String key) {
+        return StableHash.combine(StableHash.of(gateway), StableHash.of(key));
     }
 
     /** Returns how many gateways are connected, including this one. */
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -153,9 +153,10 @@
                         configuration.targets().get(upstream.upstream().target()))
                 .map(TargetConfiguration::coldRequestsPerSecond)
                 .orElse(0.0);
-        double maxDispatches = (requestsPerSecond * limits.coldBurstFactor() + limits.coldBurstExtra())
-                / state.peers().gateways();
-        return upstream.recentColdDispatches(now).size() + 1 <= Math.max(1, Math.floor(maxDispatches));
+        int maxOverFleet = (int) Math.floor(requestsPerSecond * limits.coldBurstFactor() + limits.coldBurstExtra());
+        int maxDispatches = state.peers()
+                .partOf(maxOverFleet, upstream.upstream().identifier().value());
+        return upstream.recentColdDispatches(now).size() < maxDispatches;
     }
 
     private Transition<GatewayState, GatewayAction> dispatch(
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
@@ -7,7 +7,11 @@
 import java.util.stream.LongStream;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
+import org.pcollections.PSet;
 import org.sassafrastrail.model.RefusalReason;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -318,7 +322,7 @@
 
     @Test
     void coldUpstreamGetsOnlyGatewaysShareOfColdRate() {
-        gateway.handle(new GatewayEvent.GatewayCountChanged(4));
+        gateway.handle(new GatewayEvent.GatewaysChanged(HashTreePSet.from(List.of("a", "b", "c", "d"))));
         gateway.register(GatewayDriver.cold(GatewayDriver.upstream("one", GatewayDriver.MODEL), Duration.ofSeconds(3)));
         long allowed = Math.round(Math.floor((10 * 1.5 + 5) / 4));
         long sent = LongStream.range(0, 20)
@@ -360,7 +364,7 @@
 
     @Test
     void gatewayWithoutItsThreePeersUsesQuarterOfCapacity() {
-        gateway.handle(new GatewayEvent.GatewayCountChanged(4));
+        gateway.handle(new GatewayEvent.GatewaysChanged(HashTreePSet.from(List.of("a", "b", "c", "d"))));
         gateway.register(GatewayDriver.upstream("one", GatewayDriver.MODEL));
         Prompt prompt = GatewayDriver.prompt("s", 100, 5_000);
         LongStream.range(0, 10).forEach(number -> gateway.arrive(number, MODEL_ROUTE, prompt, "account"));
@@ -426,7 +430,7 @@
 
     @Test
     void incrementalReportReplacesOnlyListedLoads() {
-        Peers peers = Peers.NONE
+        Peers peers = Peers.none("a")
                 .withReport(
                         "peer",
                         new GatewayReport(true, Map.of(engine("one"), load(1), engine("two"), load(2)), Map.of()))
@@ -482,6 +486,35 @@
         assertThat(gateway.state().configuration().orElseThrow().version()).isEqualTo(5);
     }
 
+    /** Guards against FAILBACK: with more gateways than requests that a cold upstream takes, each sent it one. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 22, 33, 360})
+    void gatewaysTogetherKeepToRateOfColdUpstream(int gateways) {
+        PSet<String> names = HashTreePSet.from(IntStream.range(0, gateways)
+                .mapToObj(number -> "gateway-" + number)
+                .toList());
+        int bound = (int) (10 * GatewayDriver.LIMITS.coldBurstFactor() + GatewayDriver.LIMITS.coldBurstExtra());
+        int sent =
+                names.stream().mapToInt(name -> dispatchedToCold(name, names)).sum();
+        assertThat(sent).isEqualTo(bound);
+    }
+
+    private static int dispatchedToCold(String name, PSet<String> names) {
+        GatewayDriver one = new GatewayDriver(name);
+        one.handle(new GatewayEvent.GatewaysChanged(names));
+        names.minus(name).forEach(peer -> one.handle(new GatewayEvent.PeerConnected(peer)));
+        one.register(GatewayDriver.cold(GatewayDriver.upstream("one", GatewayDriver.MODEL), Duration.ofSeconds(3)));
+        return (int) LongStream.range(0, 40)
+                .filter(number -> {
+                    Prompt prompt = GatewayDriver.prompt("s", 10, 20);
+                    boolean sent = GatewayDriver.dispatchedTo(one.arrive(number, MODEL_ROUTE, prompt, "account"))
+                            .isPresent();
+                    one.endAttempt(number, 1, new AttemptResult.Delivered());
+                    return sent;
+                })
+                .count();
+    }
+
     @Test
     void newIncarnationUnderSameIdentifierStartsWithoutLoad() {
         gateway.register(GatewayDriver.cold(GatewayDriver.upstream("one", GatewayDriver.MODEL), Duration.ofSeconds(3)));
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GatewayDriver.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GatewayDriver.java
@@ -40,11 +40,16 @@
                     Duration.ofSeconds(1), Duration.ofSeconds(1), Duration.ofMillis(4800), Duration.ofSeconds(5)));
 
     private final GatewayCore core = new GatewayCore(LIMITS);
-    private GatewayState state = GatewayState.start(Duration.ofSeconds(4));
+    private GatewayState state;
     private Instant now = Instant.EPOCH.plusSeconds(100);
     private PMap<UpstreamIdentifier, Upstream> registered = HashTreePMap.empty();
 
     GatewayDriver() {
+        this("a");
+    }
+
+    GatewayDriver(String name) {
+        state = GatewayState.start(name, Duration.ofSeconds(4));
         handle(new GatewayEvent.ConfigurationReceived(configuration(1)));
     }
 
--- a/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedFleet.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedFleet.java
@@ -14,7 +14,9 @@
 import java.util.stream.IntStream;
 
 import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
+import org.pcollections.PSet;
 import org.pcollections.TreePVector;
 import org.sassafrastrail.decision.Transition;
 import org.sassafrastrail.model.AccountName;
@@ -104,13 +106,13 @@
             engines.put(engine.identifier().value(), new SimulatedEngine());
         }
         for (int gateway = 0; gateway < gateways; gateway++) {
-            states.add(GatewayState.start(Duration.ofSeconds(4)));
+            states.add(GatewayState.start("gateway-" + gateway, Duration.ofSeconds(4)));
         }
         PMap<UpstreamIdentifier, Upstream> upstreams = registered;
         IntStream.range(0, gateways).forEach(gateway -> {
             handle(gateway, new GatewayEvent.ConfigurationReceived(GatewayDriver.configuration(1, TOKENS_PER_SECOND)));
             handle(gateway, new GatewayEvent.UpstreamsChanged(upstreams));
-            handle(gateway, new GatewayEvent.GatewayCountChanged(gateways));
+            handle(gateway, new GatewayEvent.GatewaysChanged(names(gateways)));
             IntStream.range(0, gateways)
                     .filter(peer -> peer != gateway)
                     .forEach(peer -> handle(gateway, new GatewayEvent.PeerConnected("gateway-" + peer)));
@@ -118,6 +120,12 @@
         });
     }
 
+    private static PSet<String> names(int gateways) {
+        return HashTreePSet.from(IntStream.range(0, gateways)
+                .mapToObj(number -> "gateway-" + number)
+                .toList());
+    }
+
     private void schedule(double time, Runnable action) {
         schedule.add(new ScheduledEvent(time, sequence++, action));
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -88,7 +88,7 @@
         this.control = new ControlLoop<>(
                 "control",
                 new GatewayCore(settings.limits()),
-                GatewayState.start(settings.quotaWindow()),
+                GatewayState.start(settings.node(), settings.quotaWindow()),
                 actions,
                 clock,
                 metrics,
