Read settings without a complete validator of JSON schema

A gateway that was killed under load is missed until it listens again, and on a VM with 0.27 of a core its start takes seconds: 0.26 of 0.95 s of processor time went into loading a schema library, linking text concatenation and classes that the training run did not record.

--- a/application/src/main/java/org/sassafrastrail/application/GatewayTrainingRun.java
+++ b/application/src/main/java/org/sassafrastrail/application/GatewayTrainingRun.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.List;
@@ -11,6 +13,7 @@
 import java.util.TimerTask;
 import java.util.concurrent.TimeUnit;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import org.sassafrastrail.gateway.GatewaySettings;
 import org.sassafrastrail.http.HttpRequest;
 import org.sassafrastrail.http.HttpResponse;
@@ -20,6 +23,8 @@
 import org.sassafrastrail.runtime.CompositeService;
 import org.sassafrastrail.runtime.Logging;
 import org.sassafrastrail.runtime.ServiceStartException;
+import org.sassafrastrail.runtime.SettingsReader;
+import org.sassafrastrail.runtime.SettingsResult;
 import org.sassafrastrail.standins.MinimalPlatform;
 
 /**
@@ -89,9 +94,12 @@
                 null,
                 null,
                 null,
-                1.0,
+                2.0,
                 null,
                 "INFO");
+        if (!(readBack(settings) instanceof SettingsResult.Accepted<GatewaySettings>)) {
+            return false;
+        }
         CompositeService services =
                 new CompositeService(List.of(platform, client, PlatformGatewayFactory.create(settings, clock)));
         services.start();
@@ -105,6 +113,21 @@
         return responded;
     }
 
+    /** Writes the settings to a file and reads them, so that the classes of the reader are recorded too. */
+    private static SettingsResult<GatewaySettings> readBack(GatewaySettings settings) {
+        try {
+            Path file = Files.createTempFile("training", ".json");
+            try {
+                new ObjectMapper().writeValue(file.toFile(), settings);
+                return new SettingsReader<>(GatewaySettings.class).read(file);
+            } finally {
+                Files.delete(file);
+            }
+        } catch (IOException failure) {
+            throw new ServiceStartException("settings of the training run", failure);
+        }
+    }
+
     private boolean awaitFirstResponse() {
         long end = clock.millis() + START_TIMEOUT.toMillis();
         while (clock.millis() < end) {
--- a/runtime/src/main/java/org/sassafrastrail/runtime/SettingsReader.java
+++ b/runtime/src/main/java/org/sassafrastrail/runtime/SettingsReader.java
@@ -8,11 +8,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.networknt.schema.Error;
-import com.networknt.schema.InputFormat;
-import com.networknt.schema.Schema;
-import com.networknt.schema.SchemaRegistry;
-import com.networknt.schema.SpecificationVersion;
 
 /**
  * Reads settings files and validates them against the JSON schema in the package of the settings class.
@@ -50,21 +45,15 @@
     }
 
     private SettingsResult<T> read(JsonNode tree) throws IOException {
-        List<SettingsError> errors =
-                schema().validate(tree).stream().map(SettingsReader::error).toList();
+        List<SettingsError> errors = schema().validate(tree).toList();
         return errors.isEmpty()
                 ? new SettingsResult.Accepted<>(mapper.treeToValue(tree, type))
                 : new SettingsResult.Rejected<>(errors);
     }
 
-    private Schema schema() throws IOException {
+    private SettingsSchema schema() throws IOException {
         try (InputStream resource = type.getResourceAsStream(type.getSimpleName() + ".schema.json")) {
-            return SchemaRegistry.withDefaultDialect(SpecificationVersion.DRAFT_2020_12)
-                    .getSchema(resource, InputFormat.JSON);
+            return new SettingsSchema(mapper.readTree(resource));
         }
     }
-
-    private static SettingsError error(Error error) {
-        return new SettingsError(error.getInstanceLocation().toString(), error.getMessage());
-    }
 }
