Learn how fast each engine prefills, and what load it reports

The wait at an engine was predicted with 80 prompt tokens a millisecond on every site, while engines differ by more than two times, and one that turned slow was not known as slow. Each gateway now fits, per engine, a line through the tokens to prefill and the time to the first event, with decaying weights, limited outliers and a prior; placement compares times in place of tokens.

Upstreams of some services report running and waiting requests and slots with each response. What exceeds the load that the gateways know of is counted as the load of other callers, fading within a second. Invalid reports are ignored.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
@@ -24,18 +24,30 @@
         Optional<Call> running = state.call(event.call())
                 .filter(call -> call.isRunning(event.attempt()))
                 .filter(call -> call.attempt().orElseThrow().prefilling());
-        return running.map(call -> responseStarted(state, call, now)).orElseGet(() -> Transition.to(state));
+        return running.map(call -> responseStarted(state, call, event.load(), now))
+                .orElseGet(() -> Transition.to(state));
     }
 
-    private Transition<GatewayState, GatewayAction> responseStarted(GatewayState state, Call call, Instant now) {
+    private Transition<GatewayState, GatewayAction> responseStarted(
+            GatewayState state, Call call, Optional<ReportedLoad> load, Instant now) {
         Attempt attempt = call.attempt().orElseThrow();
         GatewayState started = state.with(call.responseStarted());
         GatewayState prefilled = state.upstreamOf(attempt)
-                .map(upstream -> started.with(upstream.prefillFinished(attempt)))
+                .map(upstream -> upstream.prefillFinished(attempt).withPrefillTime(attempt, now))
+                .map(upstream -> load.map(reported -> withReportedLoad(state, upstream, reported, now))
+                        .orElse(upstream))
+                .map(started::with)
                 .orElse(started);
         return scheduler.dispatchQueued(prefilled, call.target(), now);
     }
 
+    private static UpstreamState withReportedLoad(
+            GatewayState state, UpstreamState upstream, ReportedLoad load, Instant now) {
+        int known = upstream.running()
+                + state.peers().loadAt(upstream.upstream().identifier()).running();
+        return upstream.with(UnknownLoad.of(load, known, now));
+    }
+
     Transition<GatewayState, GatewayAction> attemptEnded(
             GatewayState state, GatewayEvent.AttemptEnded event, Instant now) {
         return state.call(event.call())
--- a/gate-core/src/main/java/org/sassafrastrail/gate/CacheAffinityPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CacheAffinityPlacement.java
@@ -32,7 +32,7 @@
         this.limits = limits;
     }
 
-    /** A choice with its cost in tokens, and the hash of its upstream for the session. */
+    /** A choice with its cost in milliseconds of prefill, and the hash of its upstream for the session. */
     private record Scored(Choice choice, double score, long hash) {}
 
     /** An upstream with its rendezvous hash for the session. */
@@ -84,7 +84,7 @@
         Candidate candidate = hashed.candidate();
         return new Scored(
                 new Choice(candidate, prefillTokens),
-                candidate.pendingPrefillTokens() + ownTokens + recomputeCost,
+                candidate.prefillMilliseconds(candidate.pendingPrefillTokens() + ownTokens + recomputeCost),
                 hashed.hash());
     }
 
@@ -95,10 +95,10 @@
     @Override
     public boolean hasCapacity(Candidate candidate, Call call, CapacityAllowance allowance) {
         double maxWait = call.description().route().latencyTarget().toMillis() * limits.maxPrefillWaitShare();
-        double maxPendingTokens = maxWait * limits.prefillTokensPerMillisecond() * allowance.share();
         int slots = candidate.upstream().upstream().slots();
         return candidate.running() * allowance.loadFactor() < slots
                 && (candidate.pendingPrefillTokens() == 0
-                        || candidate.pendingPrefillTokens() * allowance.loadFactor() < maxPendingTokens);
+                        || candidate.prefillMilliseconds(candidate.pendingPrefillTokens() * allowance.loadFactor())
+                                < maxWait * allowance.share());
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
@@ -10,9 +10,11 @@
  */
 final class ClusterStateHandler {
 
+    private final GatewayLimits limits;
     private final Scheduler scheduler;
 
-    ClusterStateHandler(Scheduler scheduler) {
+    ClusterStateHandler(GatewayLimits limits, Scheduler scheduler) {
+        this.limits = limits;
         this.scheduler = scheduler;
     }
 
@@ -44,7 +46,7 @@
                 .and(next -> scheduler.dispatchAll(next, now));
     }
 
-    private static Transition<GatewayState, GatewayAction> register(GatewayState state, Upstream entry, Instant now) {
+    private Transition<GatewayState, GatewayAction> register(GatewayState state, Upstream entry, Instant now) {
         Optional<UpstreamState> known = Optional.ofNullable(state.upstreams().get(entry.identifier()))
                 .filter(present -> present.upstream().isSameIncarnation(entry));
         if (known.filter(present -> present.registered() && present.upstream().equals(entry))
@@ -52,7 +54,8 @@
             return Transition.to(state);
         }
         UpstreamState updated = known.map(present -> present.reregistered(entry, now))
-                .orElseGet(() -> UpstreamState.discovered(entry, now));
+                .orElseGet(() -> UpstreamState.discovered(
+                        entry, PrefillRate.assumed(limits.prefillTokensPerMillisecond()), now));
         UpstreamStatus status = entry.draining() ? UpstreamStatus.LEAVING : UpstreamStatus.FOUND;
         boolean statusChanged = known.map(
                         present -> !present.registered() || present.upstream().draining() != entry.draining())
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
@@ -20,7 +20,7 @@
         Scheduler scheduler = new Scheduler(limits, new CacheAffinityPlacement(limits), new LeastRequestPlacement());
         CallHandler calls = new CallHandler(limits, scheduler);
         AttemptHandler attempts = new AttemptHandler(limits, calls, scheduler);
-        ClusterStateHandler clusterState = new ClusterStateHandler(scheduler);
+        ClusterStateHandler clusterState = new ClusterStateHandler(limits, scheduler);
         TickHandler ticks = new TickHandler(limits, calls, scheduler);
         this.handlers = EventRouter.<GatewayState, GatewayEvent, GatewayAction>over(GatewayEvent.class)
                 .on(GatewayEvent.CallArrived.class, calls::callArrived)
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
@@ -1,5 +1,7 @@
 package org.sassafrastrail.gate;
 
+import java.util.Optional;
+
 import org.pcollections.PMap;
 import org.pcollections.PSet;
 import org.sassafrastrail.model.FailureDomainName;
@@ -27,8 +29,9 @@
      *
      * @param call the request
      * @param attempt the attempt
+     * @param load the load that the upstream reported with it, if any
      */
-    record ResponseStarted(long call, int attempt) implements GatewayEvent {}
+    record ResponseStarted(long call, int attempt, Optional<ReportedLoad> load) implements GatewayEvent {}
 
     /**
      * An attempt ended.
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayLimits.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayLimits.java
@@ -5,7 +5,7 @@
 /**
  * The limits for a gateway's decisions.
  *
- * @param prefillTokensPerMillisecond the prefill rate of an engine
+ * @param prefillTokensPerMillisecond the prefill rate that is assumed of an engine until its responses show it
  * @param maxPrefillWaitShare the maximum estimated wait for other prompts' prefill at an engine, as a share of the
  *     request's latency target
  * @param minCapacityShare the share of that wait that every account may use, however far it exceeds its fair share
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
@@ -19,15 +19,21 @@
      *
      * @param upstream its state at this gateway
      * @param peerLoad the load that the other gateways put on it
+     * @param unknownRequests the number of its requests that no gateway is known to have sent
      */
-    record Candidate(UpstreamState upstream, PeerLoad peerLoad) {
+    record Candidate(UpstreamState upstream, PeerLoad peerLoad, int unknownRequests) {
 
         UpstreamIdentifier identifier() {
             return upstream.upstream().identifier();
         }
 
         int running() {
-            return upstream.running() + peerLoad.running();
+            return upstream.running() + peerLoad.running() + unknownRequests;
+        }
+
+        /** Returns the estimated time to prefill the given tokens, in milliseconds. */
+        double prefillMilliseconds(double tokens) {
+            return upstream.prefillRate().millisecondsFor(tokens);
         }
 
         long pendingPrefillTokens() {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -133,7 +133,9 @@
         return new Candidates(state.upstreams().values().stream()
                 .filter(upstream -> isEligible(state, upstream, target, now))
                 .map(upstream -> new Placement.Candidate(
-                        upstream, state.peers().loadAt(upstream.upstream().identifier())))
+                        upstream,
+                        state.peers().loadAt(upstream.upstream().identifier()),
+                        upstream.unknownLoad().requestsAt(now)))
                 .toList());
     }
 
@@ -162,7 +164,12 @@
     private Transition<GatewayState, GatewayAction> dispatch(
             GatewayState state, Call call, Placement.Choice choice, Instant now) {
         Attempt attempt = new Attempt(
-                call.attempts() + 1, choice.candidate().upstream().upstream(), choice.prefillTokens(), true);
+                call.attempts() + 1,
+                choice.candidate().upstream().upstream(),
+                choice.prefillTokens(),
+                choice.candidate().pendingPrefillTokens(),
+                now,
+                true);
         Call dispatched = call.dispatched(attempt);
         GatewayState recorded = call.attempts() == 0
                 ? state.with(state.shares()
--- a/gate-core/src/main/java/org/sassafrastrail/gate/UpstreamState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/UpstreamState.java
@@ -19,6 +19,8 @@
  *     since the last ejection; a response with an error status counts as a response, and declined requests are not
  *     counted
  * @param ejectedUntil when its ejection for failures ends, {@link Instant#MIN} if it is not ejected
+ * @param prefillRate how fast it prefills prompts
+ * @param unknownLoad its requests that no gateway is known to have sent
  */
 record UpstreamState(
         Upstream upstream,
@@ -28,13 +30,24 @@
         Instant coldUntil,
         PVector<Instant> coldDispatches,
         int consecutiveFailures,
-        Instant ejectedUntil) {
+        Instant ejectedUntil,
+        PrefillRate prefillRate,
+        UnknownLoad unknownLoad) {
 
     private static final Duration COLD_WINDOW = Duration.ofSeconds(1);
 
-    static UpstreamState discovered(Upstream upstream, Instant now) {
+    static UpstreamState discovered(Upstream upstream, PrefillRate assumedRate, Instant now) {
         return new UpstreamState(
-                upstream, true, 0, 0, now.plus(upstream.coldRemaining()), TreePVector.empty(), 0, Instant.MIN);
+                upstream,
+                true,
+                0,
+                0,
+                now.plus(upstream.coldRemaining()),
+                TreePVector.empty(),
+                0,
+                Instant.MIN,
+                assumedRate,
+                UnknownLoad.NONE);
     }
 
     UpstreamState reregistered(Upstream entry, Instant now) {
@@ -47,7 +60,9 @@
                 coldAgain ? now.plus(entry.coldRemaining()) : coldUntil,
                 coldDispatches,
                 consecutiveFailures,
-                ejectedUntil);
+                ejectedUntil,
+                prefillRate,
+                unknownLoad);
     }
 
     UpstreamState unregistered() {
@@ -59,7 +74,9 @@
                 coldUntil,
                 coldDispatches,
                 consecutiveFailures,
-                ejectedUntil);
+                ejectedUntil,
+                prefillRate,
+                unknownLoad);
     }
 
     UpstreamState dispatched(Attempt attempt, Instant now) {
@@ -72,7 +89,9 @@
                 coldUntil,
                 recent,
                 consecutiveFailures,
-                ejectedUntil);
+                ejectedUntil,
+                prefillRate,
+                unknownLoad);
     }
 
     UpstreamState prefillFinished(Attempt attempt) {
@@ -84,7 +103,9 @@
                 coldUntil,
                 coldDispatches,
                 consecutiveFailures,
-                ejectedUntil);
+                ejectedUntil,
+                prefillRate,
+                unknownLoad);
     }
 
     UpstreamState attemptEnded(Attempt attempt) {
@@ -98,7 +119,9 @@
                 coldUntil,
                 coldDispatches,
                 consecutiveFailures,
-                ejectedUntil);
+                ejectedUntil,
+                prefillRate,
+                unknownLoad);
     }
 
     UpstreamState succeeded() {
@@ -116,7 +139,53 @@
 
     private UpstreamState withFailures(int failures, Instant until) {
         return new UpstreamState(
-                upstream, registered, running, pendingPrefillTokens, coldUntil, coldDispatches, failures, until);
+                upstream,
+                registered,
+                running,
+                pendingPrefillTokens,
+                coldUntil,
+                coldDispatches,
+                failures,
+                until,
+                prefillRate,
+                unknownLoad);
+    }
+
+    /** Learns from the time at which the response of an attempt started. A cold upstream says nothing about later. */
+    UpstreamState withPrefillTime(Attempt attempt, Instant now) {
+        return isCold(now) || attempt.prefillTokens() == 0
+                ? this
+                : with(prefillRate.withResponse(
+                        attempt.pendingTokens() + attempt.prefillTokens(),
+                        Duration.between(attempt.dispatchedAt(), now)));
+    }
+
+    private UpstreamState with(PrefillRate nextRate) {
+        return new UpstreamState(
+                upstream,
+                registered,
+                running,
+                pendingPrefillTokens,
+                coldUntil,
+                coldDispatches,
+                consecutiveFailures,
+                ejectedUntil,
+                nextRate,
+                unknownLoad);
+    }
+
+    UpstreamState with(UnknownLoad nextLoad) {
+        return new UpstreamState(
+                upstream,
+                registered,
+                running,
+                pendingPrefillTokens,
+                coldUntil,
+                coldDispatches,
+                consecutiveFailures,
+                ejectedUntil,
+                prefillRate,
+                nextLoad);
     }
 
     boolean isCold(Instant now) {
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 
@@ -70,7 +71,7 @@
         assertThat(GatewayDriver.dispatchedTo(gateway.arrive(2, MODEL_ROUTE, prompt, "account")))
                 .isPresent();
         assertThat(gateway.arrive(3, MODEL_ROUTE, prompt, "account")).isEmpty();
-        assertThat(GatewayDriver.dispatchedTo(gateway.handle(new GatewayEvent.ResponseStarted(1, 1))))
+        assertThat(GatewayDriver.dispatchedTo(gateway.handle(new GatewayEvent.ResponseStarted(1, 1, Optional.empty()))))
                 .isPresent();
     }
 
@@ -82,7 +83,7 @@
         gateway.arrive(2, MODEL_ROUTE, prompt, "greedy");
         gateway.arrive(3, MODEL_ROUTE, prompt, "greedy");
         gateway.arrive(4, MODEL_ROUTE, prompt, "modest");
-        List<GatewayAction> actions = gateway.handle(new GatewayEvent.ResponseStarted(1, 1));
+        List<GatewayAction> actions = gateway.handle(new GatewayEvent.ResponseStarted(1, 1, Optional.empty()));
         assertThat(GatewayDriver.first(actions, GatewayAction.Dispatch.class)
                         .orElseThrow()
                         .call())
@@ -103,7 +104,7 @@
                         HashTreePMap.singleton("elsewhere", new AccountTokens(900_000, 900_000)))));
         gateway.arrive(3, MODEL_ROUTE, prompt, "elsewhere");
         gateway.arrive(4, MODEL_ROUTE, prompt, "here");
-        List<GatewayAction> actions = gateway.handle(new GatewayEvent.ResponseStarted(1, 1));
+        List<GatewayAction> actions = gateway.handle(new GatewayEvent.ResponseStarted(1, 1, Optional.empty()));
         assertThat(GatewayDriver.first(actions, GatewayAction.Dispatch.class)
                         .orElseThrow()
                         .call())
--- a/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedFleet.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedFleet.java
@@ -239,7 +239,7 @@
                 .prefill(now, requests.get(dispatch.call()).prompt(), "own-" + dispatch.call());
         schedule(start, () -> {
             requests.computeIfPresent(dispatch.call(), (number, request) -> request.responseStarted(now));
-            handle(gateway, new GatewayEvent.ResponseStarted(dispatch.call(), dispatch.attempt()));
+            handle(gateway, new GatewayEvent.ResponseStarted(dispatch.call(), dispatch.attempt(), Optional.empty()));
         });
         schedule(
                 start + RESPONSE_MILLISECONDS,
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -213,7 +213,7 @@
         if (!response.hasStarted() && (failed || bufferable)) {
             buffered = Optional.of(new ByteArrayOutputStream());
         }
-        events.accept(new GatewayEvent.ResponseStarted(callNumber, attemptNumber));
+        events.accept(new GatewayEvent.ResponseStarted(callNumber, attemptNumber, started.load()));
     }
 
     @Override
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerProtocol.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerProtocol.java
@@ -5,6 +5,7 @@
 
 import io.undertow.util.HeaderMap;
 import org.sassafrastrail.gate.CallDescription;
+import org.sassafrastrail.gate.ReportedLoad;
 import org.sassafrastrail.gate.Upstream;
 
 /** The mapping between HTTP headers of callers and upstreams and what the gateway needs to know. */
@@ -44,6 +45,14 @@
      */
     ResponseFacts readResponseFacts(int status, HeaderMap headers);
 
+    /**
+     * Reads the load that an upstream reports with a response.
+     *
+     * @param headers the response headers
+     * @return the load, empty if the upstream reports none or an invalid one
+     */
+    Optional<ReportedLoad> readReportedLoad(HeaderMap headers);
+
     /**
      * Builds the headers of a response to a caller.
      *
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -154,7 +154,11 @@
         }
         responseStarted = true;
         listener.responseStarted(new UpstreamResponseHead(
-                response.getResponseCode(), protocol.callerResponseHeaders(headers), kind, length(headers)));
+                response.getResponseCode(),
+                protocol.callerResponseHeaders(headers),
+                kind,
+                length(headers),
+                protocol.readReportedLoad(headers)));
         source.getReadSetter().set(channel -> read());
         read();
     }
