Limit and judge a new version while a move to it goes on

Each gateway now gives it at most a part of its own requests, so that the bound holds in sum whatever the traffic's division, compares failures and times to the first byte with those of the other versions by route, rejects a worse one, and records that in the store under a condition; the others read the record while the order is open. A good version is not completed yet: what proves one good enough for all traffic is open.

Before: VersionExposureTest.newVersionGetsAtMostATenthOfRequests red, 97 of 200.

--- a/application/src/main/java/org/sassafrastrail/application/GatewayTrainingRun.java
+++ b/application/src/main/java/org/sassafrastrail/application/GatewayTrainingRun.java
@@ -94,6 +94,8 @@
                 null,
                 null,
                 null,
+                null,
+                null,
                 2.0,
                 null,
                 "INFO");
--- a/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
@@ -38,7 +38,8 @@
                         .orElse(upstream))
                 .map(started::with)
                 .orElse(started);
-        return scheduler.dispatchQueued(prefilled, call.target(), now);
+        return scheduler.dispatchQueued(
+                VersionMoveHandler.responseStarted(prefilled, call, attempt, now), call.target(), now);
     }
 
     private static UpstreamState withReportedLoad(
@@ -52,12 +53,25 @@
             GatewayState state, GatewayEvent.AttemptEnded event, Instant now) {
         return state.call(event.call())
                 .filter(call -> call.isRunning(event.attempt()))
-                .map(call -> updateUpstream(CallHandler.release(state, call), call, event.result(), now)
+                .map(call -> updateUpstream(
+                                recordFailure(CallHandler.release(state, call), call, event.result()),
+                                call,
+                                event.result(),
+                                now)
                         .and(next -> resolve(next, call, event.result(), now))
                         .and(next -> scheduler.dispatchQueued(next, call.target(), now)))
                 .orElseGet(() -> Transition.to(state));
     }
 
+    private static GatewayState recordFailure(GatewayState state, Call call, AttemptResult result) {
+        boolean failed = result instanceof AttemptResult.Failed
+                || result instanceof AttemptResult.Lost
+                || result instanceof AttemptResult.Broken;
+        return failed
+                ? VersionMoveHandler.attemptFailed(state, call, call.attempt().orElseThrow())
+                : state;
+    }
+
     /**
      * Updates the upstream's failure count and ejection from the result. A response with an error status counts as a
      * success here, because the upstream responded; a declined request says nothing about its health.
--- a/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
@@ -38,7 +38,8 @@
     Transition<GatewayState, GatewayAction> callerDisconnected(
             GatewayState state, GatewayEvent.CallerDisconnected event, Instant now) {
         return state.call(event.call())
-                .map(call -> cancel(state, call).and(next -> scheduler.dispatchQueued(next, call.target(), now)))
+                .map(call -> cancel(recordLateAttempt(state, call, now), call)
+                        .and(next -> scheduler.dispatchQueued(next, call.target(), now)))
                 .orElseGet(() -> Transition.to(state));
     }
 
@@ -76,7 +77,14 @@
         if (call.isQueued()) {
             return refuse(state, call, RefusalReason.DEADLINE_EXCEEDED, now);
         }
-        return cancel(state, call).then(new GatewayAction.ReportUnknownOutcome(call.number(), true));
+        return cancel(recordLateAttempt(state, call, now), call)
+                .then(new GatewayAction.ReportUnknownOutcome(call.number(), true));
+    }
+
+    private static GatewayState recordLateAttempt(GatewayState state, Call call, Instant now) {
+        return call.attempt()
+                .map(attempt -> VersionMoveHandler.attemptGivenUp(state, call, attempt, now))
+                .orElse(state);
     }
 
     private Transition<GatewayState, GatewayAction> refuseQueuedTooLong(GatewayState state, Instant now) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
@@ -102,6 +102,13 @@
      */
     record SendReport(GatewayReport report) implements GatewayAction {}
 
+    /**
+     * Record for all gateways and the operators that the new version of a move is worse and gets no more requests.
+     *
+     * @param move the move
+     */
+    record RejectVersion(VersionMove move) implements GatewayAction {}
+
     /** The graceful shutdown is complete, or its maximum time has passed: the process may exit. */
     record Drained() implements GatewayAction {}
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
@@ -21,6 +21,7 @@
         CallHandler calls = new CallHandler(limits, scheduler);
         AttemptHandler attempts = new AttemptHandler(limits, calls, scheduler);
         ClusterStateHandler clusterState = new ClusterStateHandler(limits, scheduler);
+        VersionMoveHandler versionMoves = new VersionMoveHandler();
         TickHandler ticks = new TickHandler(limits, calls, scheduler);
         this.handlers = EventRouter.<GatewayState, GatewayEvent, GatewayAction>over(GatewayEvent.class)
                 .on(GatewayEvent.CallArrived.class, calls::callArrived)
@@ -34,6 +35,8 @@
                 .on(GatewayEvent.PeerConnected.class, clusterState::peerConnected)
                 .on(GatewayEvent.PeerReportReceived.class, clusterState::peerReportReceived)
                 .on(GatewayEvent.PeerDisconnected.class, clusterState::peerDisconnected)
+                .on(GatewayEvent.VersionMovesChanged.class, versionMoves::movesChanged)
+                .on(GatewayEvent.VersionRejected.class, versionMoves::versionRejected)
                 .on(GatewayEvent.Ticked.class, ticks::ticked)
                 .on(GatewayEvent.StopRequested.class, ticks::stopRequested)
                 .complete();
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
@@ -92,6 +92,20 @@
      */
     record PeerDisconnected(String peer) implements GatewayEvent {}
 
+    /**
+     * The operators' orders to move to other versions changed.
+     *
+     * @param moves all orders
+     */
+    record VersionMovesChanged(PSet<VersionMove> moves) implements GatewayEvent {}
+
+    /**
+     * Another gateway rejected the new version of a move.
+     *
+     * @param move the move
+     */
+    record VersionRejected(VersionMove move) implements GatewayEvent {}
+
     /** The periodic tick. */
     record Ticked() implements GatewayEvent {}
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayLimits.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayLimits.java
@@ -16,6 +16,8 @@
  * @param retryExtra the retries for a target in the window over the fleet that are allowed beyond that share
  * @param coldBurstFactor the factor by which a cold upstream's configured rate may be exceeded in one second
  * @param coldBurstExtra the requests in one second that a cold upstream may get beyond that
+ * @param newVersionShare the maximum share of requests that a new version gets before a move to it is completed
+ * @param newVersionExtra the requests over the fleet that a new version may get beyond that share
  * @param ejectionThreshold the number of consecutive failures after which an upstream is ejected
  * @param ejectionDuration how long an ejected upstream gets no requests
  * @param reportSpacing the average time between two reports that a gateway receives, over all its peers
@@ -32,6 +34,8 @@
         double retryExtra,
         double coldBurstFactor,
         double coldBurstExtra,
+        double newVersionShare,
+        double newVersionExtra,
         int ejectionThreshold,
         Duration ejectionDuration,
         Duration reportSpacing,
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -25,6 +25,7 @@
  * @param shares the tokens recently requested by and served to each client account over the fleet
  * @param retryBudgets the retry budget of each target
  * @param stoppingSince when the graceful shutdown began, empty if the gateway is not stopping
+ * @param versionTrials the moves to another version, by target
  */
 public record GatewayState(
         Optional<GatewayConfiguration> configuration,
@@ -35,7 +36,8 @@
         Peers peers,
         AccountShares shares,
         PMap<TargetName, RetryBudget> retryBudgets,
-        Optional<Instant> stoppingSince) {
+        Optional<Instant> stoppingSince,
+        PMap<TargetName, VersionTrial> versionTrials) {
 
     /**
      * Creates the initial state.
@@ -54,7 +56,8 @@
                 Peers.none(gateway),
                 AccountShares.forQuotaWindow(quotaWindow),
                 HashTreePMap.empty(),
-                Optional.empty());
+                Optional.empty(),
+                HashTreePMap.empty());
     }
 
     /**
@@ -100,12 +103,30 @@
 
     GatewayState with(GatewayConfiguration next) {
         return new GatewayState(
-                Optional.of(next), upstreams, calls, queued, domainsOut, peers, shares, retryBudgets, stoppingSince);
+                Optional.of(next),
+                upstreams,
+                calls,
+                queued,
+                domainsOut,
+                peers,
+                shares,
+                retryBudgets,
+                stoppingSince,
+                versionTrials);
     }
 
     GatewayState withUpstreams(PMap<UpstreamIdentifier, UpstreamState> next) {
         return new GatewayState(
-                configuration, next, calls, queued, domainsOut, peers, shares, retryBudgets, stoppingSince);
+                configuration,
+                next,
+                calls,
+                queued,
+                domainsOut,
+                peers,
+                shares,
+                retryBudgets,
+                stoppingSince,
+                versionTrials);
     }
 
     GatewayState with(UpstreamState next) {
@@ -132,22 +153,50 @@
                 peers,
                 shares,
                 retryBudgets,
-                stoppingSince);
+                stoppingSince,
+                versionTrials);
     }
 
     GatewayState withDomainsOut(PSet<FailureDomainName> next) {
         return new GatewayState(
-                configuration, upstreams, calls, queued, next, peers, shares, retryBudgets, stoppingSince);
+                configuration,
+                upstreams,
+                calls,
+                queued,
+                next,
+                peers,
+                shares,
+                retryBudgets,
+                stoppingSince,
+                versionTrials);
     }
 
     GatewayState with(Peers next) {
         return new GatewayState(
-                configuration, upstreams, calls, queued, domainsOut, next, shares, retryBudgets, stoppingSince);
+                configuration,
+                upstreams,
+                calls,
+                queued,
+                domainsOut,
+                next,
+                shares,
+                retryBudgets,
+                stoppingSince,
+                versionTrials);
     }
 
     GatewayState with(AccountShares next) {
         return new GatewayState(
-                configuration, upstreams, calls, queued, domainsOut, peers, next, retryBudgets, stoppingSince);
+                configuration,
+                upstreams,
+                calls,
+                queued,
+                domainsOut,
+                peers,
+                next,
+                retryBudgets,
+                stoppingSince,
+                versionTrials);
     }
 
     GatewayState with(TargetName target, RetryBudget next) {
@@ -160,12 +209,27 @@
                 peers,
                 shares,
                 retryBudgets.plus(target, next),
-                stoppingSince);
+                stoppingSince,
+                versionTrials);
+    }
+
+    GatewayState withVersionTrials(PMap<TargetName, VersionTrial> next) {
+        return new GatewayState(
+                configuration, upstreams, calls, queued, domainsOut, peers, shares, retryBudgets, stoppingSince, next);
     }
 
     GatewayState stopping(Instant now) {
         return new GatewayState(
-                configuration, upstreams, calls, queued, domainsOut, peers, shares, retryBudgets, Optional.of(now));
+                configuration,
+                upstreams,
+                calls,
+                queued,
+                domainsOut,
+                peers,
+                shares,
+                retryBudgets,
+                Optional.of(now),
+                versionTrials);
     }
 
     RetryBudget retryBudget(TargetName target) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -145,10 +145,20 @@
                 && upstream.registered()
                 && !entry.draining()
                 && !upstream.isEjected(now)
+                && isAllowedByMove(state, entry)
                 && !state.domainsOut().contains(entry.domain())
                 && (!upstream.isCold(now) || isWithinColdRate(state, upstream, now));
     }
 
+    private boolean isAllowedByMove(GatewayState state, Upstream upstream) {
+        VersionTrial trial = state.versionTrials().get(upstream.target());
+        return trial == null
+                || trial.allows(
+                        upstream,
+                        limits.newVersionShare(),
+                        limits.newVersionExtra() / state.peers().gateways());
+    }
+
     private boolean isWithinColdRate(GatewayState state, UpstreamState upstream, Instant now) {
         double requestsPerSecond = state.configuration()
                 .map(configuration ->
@@ -187,8 +197,9 @@
                 Duration.between(call.description().arrivedAt(), now),
                 choice.candidate().pendingPrefillTokens(),
                 choice.prefillTokens());
-        return Transition.<GatewayState, GatewayAction>to(recorded.with(dispatched)
-                        .with(choice.candidate().upstream().dispatched(attempt, now)))
+        GatewayState next =
+                recorded.with(dispatched).with(choice.candidate().upstream().dispatched(attempt, now));
+        return Transition.<GatewayState, GatewayAction>to(VersionMoveHandler.dispatched(next, attempt.upstream()))
                 .then(action);
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
@@ -23,6 +23,7 @@
         return scheduler
                 .dispatchAll(state.with(state.shares().withUpdatedLevel(configuredCapacity(state), now)), now)
                 .and(next -> calls.expire(next, now))
+                .and(VersionMoveHandler::rejectWorseVersions)
                 .and(next -> endEjections(next, now))
                 .and(next -> reportToPeers(next, now))
                 .and(next -> checkDrained(next, now));
--- a/gate-core/src/test/java/org/sassafrastrail/gate/FairShareTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/FairShareTest.java
@@ -30,6 +30,8 @@
             50,
             1,
             3,
+            0.07,
+            35,
             3,
             Duration.ofSeconds(2),
             Duration.ofMillis(4),
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GatewayDriver.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GatewayDriver.java
@@ -33,6 +33,8 @@
             5,
             1.5,
             5,
+            0.1,
+            5,
             3,
             Duration.ofSeconds(2),
             Duration.ofMillis(100),
--- a/gateway/src/main/java/org/sassafrastrail/gateway/ClusterStateSource.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/ClusterStateSource.java
@@ -3,9 +3,9 @@
 import java.util.function.Consumer;
 
 import org.sassafrastrail.gate.GatewayEvent;
+import org.sassafrastrail.gate.VersionMove;
 
 /** The source of cluster state: the configuration, the upstreams, failure domains out of service, and other gateways. */
-@FunctionalInterface
 public interface ClusterStateSource {
 
     /**
@@ -16,4 +16,11 @@
      * @return stops watching when run
      */
     Runnable watch(Consumer<GatewayEvent> listener, GatewayPeers peers);
+
+    /**
+     * Records for all gateways and the operators that the new version of a move is rejected. Does not block.
+     *
+     * @param move the move
+     */
+    void rejectVersion(VersionMove move);
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
@@ -6,6 +6,7 @@
 import io.undertow.util.StatusCodes;
 import org.sassafrastrail.gate.GatewayAction;
 import org.sassafrastrail.gate.GatewayReport;
+import org.sassafrastrail.gate.VersionMove;
 import org.sassafrastrail.runtime.ActionExecutor;
 import org.sassafrastrail.runtime.EventLog;
 import org.sassafrastrail.runtime.LogField;
@@ -16,6 +17,7 @@
 
     private final CallerFrontEnd callers;
     private final Consumer<GatewayReport> reportSender;
+    private final Consumer<VersionMove> versionRejecter;
     private final Runnable drained;
     private final CallRecorder recorder;
     private final Metrics metrics;
@@ -24,12 +26,14 @@
     GatewayActionExecutor(
             CallerFrontEnd callers,
             Consumer<GatewayReport> reportSender,
+            Consumer<VersionMove> versionRejecter,
             Runnable drained,
             CallRecorder recorder,
             Metrics metrics,
             EventLog log) {
         this.callers = callers;
         this.reportSender = reportSender;
+        this.versionRejecter = versionRejecter;
         this.drained = drained;
         this.recorder = recorder;
         this.metrics = metrics;
@@ -58,6 +62,12 @@
             log.info("configuration-in-force", LogField.of("version", inForce.version()));
         } else if (action instanceof GatewayAction.SendReport send) {
             reportSender.accept(send.report());
+        } else if (action instanceof GatewayAction.RejectVersion reject) {
+            log.warn(
+                    "version-rejected",
+                    LogField.of("target", reject.move().target()),
+                    LogField.of("version", reject.move().version()));
+            versionRejecter.accept(reject.move());
         } else if (action instanceof GatewayAction.Drained) {
             drained.run();
         }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
@@ -19,6 +19,8 @@
  * @param repeatExtra the number of retries allowed for a target in addition; null for the default
  * @param coldFactor the factor on the rate of a cold upstream that limits its requests per second; null for the default
  * @param coldExtra the number of requests per second allowed for a cold upstream in addition; null for the default
+ * @param newVersionShare the maximum share of requests for a new version while a move to it goes on; null for the default
+ * @param newVersionExtra the number of requests allowed for a new version in addition; null for the default
  * @param graceSeconds the seconds after which a stopping process is killed; null for the default
  * @param quotaWindowSeconds the seconds over which client accounts share capacity; null for the default
  * @param logLevel the minimum level of logged events
@@ -34,6 +36,8 @@
         Double repeatExtra,
         Double coldFactor,
         Double coldExtra,
+        Double newVersionShare,
+        Double newVersionExtra,
         Double graceSeconds,
         Double quotaWindowSeconds,
         String logLevel) {
@@ -52,6 +56,8 @@
     private static final double DEFAULT_RETRY_EXTRA = 10;
     private static final double DEFAULT_COLD_FACTOR = 1;
     private static final double DEFAULT_COLD_EXTRA = 0;
+    private static final double DEFAULT_NEW_VERSION_SHARE = 0.1;
+    private static final double DEFAULT_NEW_VERSION_EXTRA = 0;
     private static final double DEFAULT_GRACE_SECONDS = 8;
     private static final double DEFAULT_QUOTA_WINDOW_SECONDS = 4;
     private static final int EJECTION_THRESHOLD = 3;
@@ -94,6 +100,8 @@
                 SAFETY_FACTOR * orDefault(repeatExtra, DEFAULT_RETRY_EXTRA),
                 SAFETY_FACTOR * orDefault(coldFactor, DEFAULT_COLD_FACTOR),
                 SAFETY_FACTOR * orDefault(coldExtra, DEFAULT_COLD_EXTRA),
+                SAFETY_FACTOR * orDefault(newVersionShare, DEFAULT_NEW_VERSION_SHARE),
+                SAFETY_FACTOR * orDefault(newVersionExtra, DEFAULT_NEW_VERSION_EXTRA),
                 EJECTION_THRESHOLD,
                 EJECTION_DURATION,
                 REPORT_SPACING,
