Choose engines by tokens, and use the learned rates for the wait only

Comparing engines by learned times moved sessions away from the engine that has their part, because rates that are learned from few responses differ by more than the engines do: more was read again.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/CacheAffinityPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CacheAffinityPlacement.java
@@ -32,7 +32,7 @@
         this.limits = limits;
     }
 
-    /** A choice with its cost in milliseconds of prefill, and the hash of its upstream for the session. */
+    /** A choice with its cost in tokens, and the hash of its upstream for the session. */
     private record Scored(Choice choice, double score, long hash) {}
 
     /** An upstream with its rendezvous hash for the session. */
@@ -84,7 +84,7 @@
         Candidate candidate = hashed.candidate();
         return new Scored(
                 new Choice(candidate, prefillTokens),
-                candidate.prefillMilliseconds(candidate.pendingPrefillTokens() + ownTokens + recomputeCost),
+                candidate.pendingPrefillTokens() + ownTokens + recomputeCost,
                 hashed.hash());
     }
 
