--- a/runtime/src/main/java/org/sassafrastrail/runtime/Logging.java
+++ b/runtime/src/main/java/org/sassafrastrail/runtime/Logging.java
@@ -39,7 +39,9 @@
         public String format(LogRecord entry) {
             String text =
                     "time=" + entry.getInstant() + " level=" + entry.getLevel() + " " + formatMessage(entry) + "\n";
-            return entry.getThrown() == null ? text : text + "cause=\"" + entry.getThrown() + "\"\n";
+            return entry.getThrown() == null
+                    ? text
+                    : text + "cause=" + LogLine.quote(entry.getThrown().toString()) + "\n";
         }
     }
 }
