Close links that fall silent, and free what a failed link holds

A link to another gateway had no read timeout: with packets lost one way, or a peer that froze, its last load and accounts were believed without an end. Idle gateways now send their full report each second too, and a link on which nothing arrives for 4 s is closed and dialed again. A message that can't be processed left the socket open and ended the dialer's thread; it closes the link now, and a report that names an upstream twice is no such message. Accepts retry with a pause and have a limit, links that open during a stop are closed, counts of senders decay for the whole of a pause, and what a peer that is gone reported is dropped once it has decayed.

SocketLinkTest.silentPeerClosesLink and messageThatCannotBeProcessedClosesLink and RecentRequestCountsTest. countsDecayForTheWholeOfAPause are new. GatewayCoreTest.loadIsReportedWhenItChanges expected no report of an idle gateway; it now expects exactly one, full and empty, and none after it within the second.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/AccountLedger.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AccountLedger.java
@@ -23,6 +23,11 @@
         return recorded == null ? DecayingTokens.zero(now) : recorded.decayedTo(now, halfLife);
     }
 
+    boolean isNegligible(Instant now) {
+        return accounts.keySet().stream()
+                .allMatch(account -> tokens(account, now).isNegligible());
+    }
+
     AccountLedger plus(String account, double requested, double served, Instant now) {
         return with(Map.of(account, tokens(account, now).plus(requested, served)));
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/AccountShares.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AccountShares.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -54,6 +55,15 @@
         return new AccountShares(local, remote.with(sums), Collections.unmodifiableMap(next), level);
     }
 
+    /** Drops what disconnected peers reported once it has decayed to nothing. */
+    AccountShares withoutIdleReports(Set<String> connected, Instant now) {
+        Map<String, AccountLedger> kept = new HashMap<>(reports);
+        kept.entrySet()
+                .removeIf(report -> !connected.contains(report.getKey())
+                        && report.getValue().isNegligible(now));
+        return new AccountShares(local, remote, Collections.unmodifiableMap(kept), level);
+    }
+
     private static Map<String, DecayingTokens> changes(AccountLedger before, GatewayReport report, Instant now) {
         Map<String, DecayingTokens> changes = new HashMap<>();
         if (report.full()) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
@@ -96,6 +96,8 @@
 
     Transition<GatewayState, GatewayAction> peerDisconnected(
             GatewayState state, GatewayEvent.PeerDisconnected event, Instant now) {
-        return Transition.to(state.with(state.peers().withoutPeer(event.peer())));
+        Peers remaining = state.peers().withoutPeer(event.peer());
+        return Transition.to(state.with(remaining)
+                .with(state.shares().withoutIdleReports(remaining.reports().keySet(), now)));
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
@@ -35,7 +35,7 @@
 
     /**
      * Sends a report if one is due. The interval grows with the number of peers, so that a gateway receives reports at
-     * a constant rate.
+     * a constant rate. An idle gateway sends its full reports too, which shows peers that the link works.
      */
     private Transition<GatewayState, GatewayAction> reportToPeers(GatewayState state, Instant now) {
         LastReport last = state.peers().lastReport();
@@ -44,7 +44,7 @@
         }
         Map<UpstreamIdentifier, PeerLoad> loads = loads(state);
         GatewayReport report = last.next(loads, state.shares(), now);
-        return report.isEmpty()
+        return report.isEmpty() && !report.full()
                 ? Transition.to(state)
                 : Transition.<GatewayState, GatewayAction>to(
                                 state.with(state.peers().withLastReport(last.sent(report, loads, now))))
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
@@ -380,6 +380,8 @@
     void loadIsReportedWhenItChanges() {
         registerServices();
         gateway.handle(new GatewayEvent.PeerConnected("peer"));
+        assertThat(gateway.reportAfter(Duration.ofMillis(100)))
+                .contains(new GatewayAction.SendReport(GatewayReport.NOTHING));
         assertThat(gateway.reportAfter(Duration.ofMillis(100))).isEmpty();
         gateway.arrive(1, PLAIN_ROUTE);
         assertThat(gateway.reportAfter(Duration.ofMillis(100))
@@ -397,6 +399,16 @@
                 .containsExactly(PeerLoad.NONE);
     }
 
+    /** Peers close a link on which nothing arrives, so an idle gateway has to send something. */
+    @Test
+    void idleGatewaySendsFullReportEverySecond() {
+        gateway.handle(new GatewayEvent.PeerConnected("peer"));
+        long reports = IntStream.range(0, 40)
+                .filter(tick -> gateway.reportAfter(Duration.ofMillis(125)).isPresent())
+                .count();
+        assertThat(reports).isBetween(4L, 6L);
+    }
+
     @Test
     void fullReportIsSentOncePerSecondAndIncrementalReportsBetween() {
         registerServices();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/LoadReportMapper.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/LoadReportMapper.java
@@ -38,9 +38,12 @@
                 message.loads().stream()
                         .collect(Collectors.toUnmodifiableMap(
                                 load -> new UpstreamIdentifier(load.upstream()),
-                                load -> new PeerLoad(load.running(), load.pendingPrefillTokens()))),
+                                load -> new PeerLoad(load.running(), load.pendingPrefillTokens()),
+                                (first, repeated) -> repeated)),
                 message.accounts().stream()
                         .collect(Collectors.toUnmodifiableMap(
-                                AccountUsage::account, usage -> new AccountTokens(usage.requested(), usage.served()))));
+                                AccountUsage::account,
+                                usage -> new AccountTokens(usage.requested(), usage.served()),
+                                (first, repeated) -> repeated)));
     }
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -41,6 +41,9 @@
     private static final Duration REDIAL_INTERVAL = Duration.ofSeconds(1);
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(800);
 
+    /** A peer sends a full report every second, also when it is idle. */
+    private static final Duration READ_TIMEOUT = Duration.ofSeconds(4);
+
     /** The platform provides no secret that VMs share; only VMs of the fleet can reach each other's link addresses. */
     private static final String NO_KEY = "";
 
@@ -67,7 +70,13 @@
         Hello greeting =
                 new Hello(Hello.PROTOCOL_VERSION, NO_KEY, new NodeName(settings.node()), incarnation, Optional.empty());
         this.linkSettings = new LinkSettings(
-                () -> greeting, new CachingCodec(new MessagePackCodec()), this, metrics, log, CONNECT_TIMEOUT);
+                () -> greeting,
+                new CachingCodec(new MessagePackCodec()),
+                this,
+                metrics,
+                log,
+                CONNECT_TIMEOUT,
+                READ_TIMEOUT);
         HostAndPort own = HostAndPort.parse(settings.links());
         this.server = new LinkServer(own.host(), own.port(), linkSettings);
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/RecentRequestCounts.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/RecentRequestCounts.java
@@ -8,7 +8,8 @@
 
 /**
  * Counts the recent requests of each sender, which is a client account or, without one, a route, to tell the senders that
- * overload this process from the others. The counts are halved when a request arrives, at most once per interval.
+ * overload this process from the others. The counts are halved
+ * for each interval that has passed when a request arrives.
  */
 final class RecentRequestCounts {
 
@@ -40,8 +41,9 @@
         if (now.isBefore(lastHalvedAt.plus(HALVING_INTERVAL))) {
             return;
         }
-        lastHalvedAt = now;
-        counts.replaceAll((sender, count) -> count / 2);
+        long intervals = Duration.between(lastHalvedAt, now).dividedBy(HALVING_INTERVAL);
+        lastHalvedAt = lastHalvedAt.plus(HALVING_INTERVAL.multipliedBy(intervals));
+        counts.replaceAll((sender, count) -> count >> Math.min(intervals, Integer.SIZE - 1));
         counts.values().removeIf(count -> count == 0);
     }
 }
--- a/gateway/src/test/java/org/sassafrastrail/gateway/RecentRequestCountsTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/RecentRequestCountsTest.java
@@ -32,6 +32,16 @@
         assertThat(counts.exceedsEvenShare("only")).isFalse();
     }
 
+    @Test
+    void countsDecayForTheWholeOfAPause() {
+        record("earlier", 1000);
+        clock.advance(Duration.ofSeconds(12));
+        record("now", 1);
+        record("other", 1);
+        record("now", 1);
+        assertThat(counts.exceedsEvenShare("now")).isTrue();
+    }
+
     @Test
     void countsDecay() {
         record("earlier", 3);
--- a/router/src/main/java/org/sassafrastrail/router/RouterDaemon.java
+++ b/router/src/main/java/org/sassafrastrail/router/RouterDaemon.java
@@ -135,7 +135,8 @@
 
     private LinkSettings linkSettings(NodeName node, Incarnation incarnation, SidecarLinks links, Metrics metrics) {
         Hello hello = new Hello(Hello.PROTOCOL_VERSION, settings.linkKey(), node, incarnation, Optional.empty());
-        return new LinkSettings(() -> hello, new MessagePackCodec(), links, metrics, log, CONNECT_TIMEOUT);
+        return new LinkSettings(
+                () -> hello, new MessagePackCodec(), links, metrics, log, CONNECT_TIMEOUT, Duration.ZERO);
     }
 
     private PlatformClient platformClient(
--- a/sidecar/src/main/java/org/sassafrastrail/sidecar/SidecarDaemon.java
+++ b/sidecar/src/main/java/org/sassafrastrail/sidecar/SidecarDaemon.java
@@ -125,7 +125,8 @@
                 identity.node(),
                 identity.incarnation(),
                 Optional.of(new UpstreamEndpoint(identity.profile(), settings.dispatchPort())));
-        return new LinkSettings(() -> hello, new MessagePackCodec(), links, metrics, log, CONNECT_TIMEOUT);
+        return new LinkSettings(
+                () -> hello, new MessagePackCodec(), links, metrics, log, CONNECT_TIMEOUT, Duration.ZERO);
     }
 
     private TargetKind targetKind(SidecarIdentity identity) {
--- a/wire/src/main/java/org/sassafrastrail/wire/LinkCloseReason.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/LinkCloseReason.java
@@ -22,6 +22,12 @@
     NEWER_PROTOCOL,
     /** The peer sent a wrong shared key. */
     WRONG_KEY,
+    /** The peer sent nothing for the read timeout. */
+    SILENT,
+    /** A message of the peer could not be processed. */
+    NOT_PROCESSED,
+    /** This process has as many links as it allows. */
+    TOO_MANY_LINKS,
     /** The send queue is full because the peer reads too slowly. */
     QUEUE_FULL
 }
--- a/wire/src/main/java/org/sassafrastrail/wire/LinkDialer.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/LinkDialer.java
@@ -58,6 +58,9 @@
             socket.connect(new InetSocketAddress(host, port), (int)
                     settings.connectTimeout().toMillis());
             link = new SocketLink(socket, settings);
+            if (stopped.getCount() == 0) {
+                link.close();
+            }
             link.run();
         } catch (IOException unreachable) {
             settings.metrics().count("link-closures", LinkCloseReason.NOT_CONNECTED);
--- a/wire/src/main/java/org/sassafrastrail/wire/LinkServer.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/LinkServer.java
@@ -7,6 +7,8 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import org.sassafrastrail.runtime.LogField;
 import org.sassafrastrail.runtime.Service;
@@ -15,10 +17,16 @@
 /** Accepts links from other processes and runs each on its own thread. */
 public final class LinkServer implements Service {
 
+    /** More than the links that a fleet of hundreds of VMs needs. */
+    private static final int MAX_LINKS = 2_000;
+
+    private static final long ACCEPT_RETRY_MILLISECONDS = 200;
+
     private final String host;
     private final int port;
     private final LinkSettings settings;
     private final Set<SocketLink> links = ConcurrentHashMap.newKeySet();
+    private final CountDownLatch stopped = new CountDownLatch(1);
     private volatile ServerSocket server;
 
     /**
@@ -47,19 +55,39 @@
     }
 
     private void acceptConnections() {
-        while (!server.isClosed()) {
-            try {
+        try {
+            do {
+                acceptUntilFailure();
+            } while (!stopped.await(ACCEPT_RETRY_MILLISECONDS, TimeUnit.MILLISECONDS));
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Accepts connections until that fails, because the server was closed or no file descriptor is left. */
+    private void acceptUntilFailure() {
+        try {
+            while (!server.isClosed()) {
                 Socket socket = server.accept();
-                daemonThread("link-" + socket.getPort(), () -> runLink(socket)).start();
-            } catch (IOException closed) {
-                settings.log().debug("link-accept-ended", LogField.of("port", port));
+                if (links.size() < MAX_LINKS) {
+                    daemonThread("link-" + socket.getPort(), () -> runLink(socket))
+                            .start();
+                } else {
+                    settings.metrics().count("link-closures", LinkCloseReason.TOO_MANY_LINKS);
+                    socket.close();
+                }
             }
+        } catch (IOException failed) {
+            settings.log().debug("link-accept-ended", LogField.of("port", port), LogField.of("cause", failed));
         }
     }
 
     private void runLink(Socket socket) {
         SocketLink link = new SocketLink(socket, settings);
         links.add(link);
+        if (server.isClosed()) {
+            link.close();
+        }
         link.run();
         links.remove(link);
     }
@@ -72,6 +100,7 @@
 
     @Override
     public void stop() {
+        stopped.countDown();
         try {
             if (server != null) {
                 server.close();
--- a/wire/src/main/java/org/sassafrastrail/wire/LinkSettings.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/LinkSettings.java
@@ -16,6 +16,7 @@
  * @param metrics counts bytes and closed links
  * @param log logs failures of connections and sockets
  * @param connectTimeout the timeout for establishing a connection, and then for the peer's greeting
+ * @param readTimeout the time without a message after which an open link is closed; zero for no limit
  */
 public record LinkSettings(
         Supplier<Hello> greeting,
@@ -23,4 +24,5 @@
         LinkListener listener,
         Metrics metrics,
         EventLog log,
-        Duration connectTimeout) {}
+        Duration connectTimeout,
+        Duration readTimeout) {}
--- a/wire/src/main/java/org/sassafrastrail/wire/SocketLink.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/SocketLink.java
@@ -6,6 +6,7 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.concurrent.BlockingQueue;
@@ -74,15 +75,21 @@
             sendQueue.add(settings.greeting().get());
             writer.start();
             peer = readGreeting(input);
-            socket.setSoTimeout(0);
+            socket.setSoTimeout((int) settings.readTimeout().toMillis());
             opened = true;
             settings.listener().opened(this);
             readMessages(input);
         } catch (LinkException failure) {
             close(failure.reason());
+        } catch (SocketTimeoutException silent) {
+            close(opened ? LinkCloseReason.SILENT : LinkCloseReason.NO_GREETING);
         } catch (IOException broken) {
             close(LinkCloseReason.CLOSED_THERE);
+        } catch (RuntimeException fault) {
+            settings.log().error("link-message-fault", fault, LogField.of("link", number));
+            close(LinkCloseReason.NOT_PROCESSED);
         } finally {
+            close();
             writer.interrupt();
             reportClosed(opened);
         }
--- a/wire/src/test/java/org/sassafrastrail/wire/SocketLinkTest.java
+++ b/wire/src/test/java/org/sassafrastrail/wire/SocketLinkTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.codahale.metrics.MetricRegistry;
 import org.junit.jupiter.api.AfterEach;
@@ -31,10 +32,12 @@
 
     private static final int EPHEMERAL_PORT = 0;
     private static final long TIMEOUT_SECONDS = 10;
+    private static final Duration READ_TIMEOUT = Duration.ofMillis(500);
 
     private final MessagePackCodec codec = new MessagePackCodec();
     private final MetricRegistry registry = new MetricRegistry();
     private final BlockingQueue<Message> received = new LinkedBlockingQueue<>();
+    private final AtomicBoolean failing = new AtomicBoolean();
     private int port;
     private LinkServer server;
 
@@ -49,7 +52,8 @@
                 new ReceivedMessages(),
                 new Metrics(registry),
                 new EventLog("test"),
-                Duration.ofSeconds(2));
+                Duration.ofSeconds(2),
+                READ_TIMEOUT);
         server = new LinkServer("127.0.0.1", port, settings);
         server.start();
     }
@@ -129,6 +133,23 @@
                 output -> Frames.write(output, codec.encode(new RulesRequest(Revision.NONE))));
     }
 
+    /** Guards against beliefs about a peer whose packets are lost while its connection stays open. */
+    @Test
+    void silentPeerClosesLink() throws Exception {
+        assertClosedWith(
+                LinkCloseReason.SILENT,
+                output -> Frames.write(output, codec.encode(hello(Hello.PROTOCOL_VERSION, "key"))));
+    }
+
+    @Test
+    void messageThatCannotBeProcessedClosesLink() throws Exception {
+        failing.set(true);
+        assertClosedWith(LinkCloseReason.NOT_PROCESSED, output -> {
+            Frames.write(output, codec.encode(hello(Hello.PROTOCOL_VERSION, "key")));
+            Frames.write(output, codec.encode(new RulesRequest(Revision.NONE)));
+        });
+    }
+
     /** The bytes that a peer sends. */
     private interface PeerInput {
 
@@ -145,6 +166,9 @@
 
         @Override
         public void received(Link link, Message message) {
+            if (failing.getAndSet(false)) {
+                throw new IllegalStateException("not processed");
+            }
             received.add(message);
         }
 
