Serve what ends in time until a stopping gateway exits

A stopping gateway now accepts connections until it exits, and admits requests that expire before; longer ones are refused as before.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
@@ -22,7 +22,7 @@
         CallDescription description = event.description();
         WeightedTarget target = description.route().target((int) StableHash.of(description.request()));
         Call call = Call.arrived(event.call(), description, target.target(), now);
-        if (!limits.drain().admits(state.stoppingSince(), now)) {
+        if (!limits.drain().admits(description, state.stoppingSince(), now)) {
             return refuse(state, call, RefusalReason.ROUTER_STOPPING, now);
         }
         GatewayState recorded = state.with(
--- a/gate-core/src/main/java/org/sassafrastrail/gate/DrainSchedule.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/DrainSchedule.java
@@ -5,10 +5,10 @@
 import java.util.Optional;
 
 /**
- * The times of a graceful shutdown, counted from its beginning. Requests are admitted for the first part of it, and each
- * admitted one has its final response before the process ends.
+ * The times of a graceful shutdown, counted from its beginning. Any request is admitted for the first part of it, and
+ * after that one that expires before the process ends. Each admitted one has its final response before the process ends.
  *
- * @param admission how long new requests are admitted, which gives the platform time to send callers elsewhere
+ * @param admission how long any request is admitted, which gives the platform time to send callers elsewhere
  * @param minimum how long open connections are served at least
  * @param lastResponse when requests without a final response expire
  * @param maximum when the process exits even if requests are still running
@@ -16,8 +16,11 @@
 public record DrainSchedule(Duration admission, Duration minimum, Duration lastResponse, Duration maximum) {
 
     /** Returns whether a new request is admitted. */
-    boolean admits(Optional<Instant> stoppingSince, Instant now) {
-        return stoppingSince.map(since -> now.isBefore(since.plus(admission))).orElse(true);
+    boolean admits(CallDescription call, Optional<Instant> stoppingSince, Instant now) {
+        return stoppingSince
+                .map(since ->
+                        now.isBefore(since.plus(admission)) || !call.expiresAt().isAfter(since.plus(lastResponse)))
+                .orElse(true);
     }
 
     /** Returns when a request must have its final response. */
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -175,9 +175,10 @@
     }
 
     /**
-     * Shuts down gracefully. Reports not ready at once, and rejects new connections after the platform has had time to
-     * notice. Then closes each open connection as it becomes idle, because a response whose head was sent before could not
-     * announce the close. Ends when each request has its final response, or when the drain time is over.
+     * Shuts down gracefully. Reports not ready at once. After the platform has had time to notice, closes each connection
+     * as it becomes idle, because a response whose head was sent before could not announce the close. Callers who connect
+     * nevertheless have no other gateway, so connections are accepted until the end. Ends when each request has its final
+     * response, or when the drain time is over.
      */
     @Override
     public void stop() {
@@ -185,11 +186,11 @@
         post(new GatewayEvent.StopRequested());
         DrainSchedule drain = settings.limits().drain();
         boolean drainedAlready = awaitDrained(drain.admission());
-        callerListener.stopAccepting();
         callers.closeWhenIdle();
         if (!drainedAlready) {
             awaitDrained(drain.maximum().minus(drain.admission()));
         }
+        callerListener.stopAccepting();
         callers.awaitFinished(WRITE_TIME_OF_LAST_RESPONSES);
         stopWatching.run();
         callerListener.stop();
