Keep sessions at the engine that has their part more strictly

A session's request went to another engine as soon as its own had twice (at the second in rank) or four times (elsewhere) the tokens of its part ahead of it. Reading a part again costs more than its own time: it delays all streams of the engine and evicts another part. The multiples are 8 and 16 now.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/CacheAffinityPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CacheAffinityPlacement.java
@@ -16,9 +16,9 @@
      * The cost of recomputing a session's part, as a multiple of its tokens: it takes time and evicts another cached
      * part.
      */
-    private static final double RECOMPUTE_WEIGHT_AT_SECOND = 2;
+    private static final double RECOMPUTE_WEIGHT_AT_SECOND = 8;
 
-    private static final double RECOMPUTE_WEIGHT_ELSEWHERE = 4;
+    private static final double RECOMPUTE_WEIGHT_ELSEWHERE = 16;
 
     private static final Comparator<Hashed> BY_HASH = Comparator.comparingLong(Hashed::hash);
 
