Choose no engine whose slots are all in use

An engine with all slots in use was chosen for its little pending prefill work, and the request then waited for a slot there while others were idle.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/CacheAffinityPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CacheAffinityPlacement.java
@@ -51,6 +51,7 @@
         Optional<Hashed> second =
                 hashed.stream().filter(other -> other != first.get()).min(BY_HASH);
         return hashed.stream()
+                .filter(other -> hasFreeSlot(other.candidate(), allowance))
                 .map(other -> score(other, rank(other, first, second), ownTokens, sessionTokens))
                 .min(LOWEST_SCORE)
                 .map(Scored::choice)
@@ -88,6 +89,12 @@
                 hashed.hash());
     }
 
+    /** An upstream whose slots are all in use is no choice, because its pending prefill work says nothing about the wait. */
+    private static boolean hasFreeSlot(Candidate candidate, CapacityAllowance allowance) {
+        return candidate.running() * allowance.loadFactor()
+                < candidate.upstream().upstream().slots();
+    }
+
     /**
      * An upstream has capacity while it has a free slot and no pending prefill work, or little enough that the wait for
      * it fits into the request's share of the latency target.
@@ -95,8 +102,7 @@
     @Override
     public boolean hasCapacity(Candidate candidate, Call call, CapacityAllowance allowance) {
         double maxWait = call.description().route().latencyTarget().toMillis() * limits.maxPrefillWaitShare();
-        int slots = candidate.upstream().upstream().slots();
-        return candidate.running() * allowance.loadFactor() < slots
+        return hasFreeSlot(candidate, allowance)
                 && (candidate.pendingPrefillTokens() == 0
                         || candidate.prefillMilliseconds(candidate.pendingPrefillTokens() * allowance.loadFactor())
                                 < maxWait * allowance.share());
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -66,20 +66,19 @@
             HttpServerExchange exchange,
             CallerRequest request,
             CallerProtocol protocol,
-            UpstreamConnectionPool connectionPool,
+            UpstreamResources upstreams,
             Consumer<GatewayEvent> events,
             CallRecorder recorder,
-            BufferBudget responseBuffers,
             Clock clock) {
         this.exchange = exchange;
         this.callNumber = request.number();
         this.description = request.description();
         this.body = request.body();
         this.protocol = protocol;
-        this.connectionPool = connectionPool;
+        this.connectionPool = upstreams.connectionPool();
         this.events = events;
         this.recorder = recorder;
-        this.responseBuffers = responseBuffers;
+        this.responseBuffers = upstreams.responseBuffers();
         this.clock = clock;
         this.splitter = description.route().resumable() ? Optional.of(new EventStreamSplitter()) : Optional.empty();
         this.response = new CallerResponse(exchange, () -> attempt.resume(), this::callerDisconnected);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -172,8 +172,8 @@
         UpstreamConnectionPool pool = upstreamPools.computeIfAbsent(
                 exchange.getIoThread(), thread -> new UpstreamConnectionPool(thread, buffers));
         CallerRequest request = new CallerRequest(number, description, body);
-        CallerExchange call =
-                new CallerExchange(exchange, request, protocol, pool, events, recorder, responseBuffers, clock);
+        UpstreamResources upstreams = new UpstreamResources(pool, responseBuffers);
+        CallerExchange call = new CallerExchange(exchange, request, protocol, upstreams, events, recorder, clock);
         calls.put(number, call);
         exchange.addExchangeCompleteListener((done, next) -> {
             finish(number);
