--- a/gate-core/src/main/java/org/sassafrastrail/gate/CacheAffinityPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CacheAffinityPlacement.java
@@ -7,8 +7,8 @@
 /**
  * Chooses the upstream that will prefill a prompt soonest, with affinity to the one that has the prompt's session
  * cached. Rendezvous hashing ranks the upstreams for each session, identically at every gateway, and the session's
- * prompt part is assumed to be cached at the first. Another upstream is chosen only if the first has more pending
- * prefill work than recomputing the part costs; the second in rank is then preferred to all others.
+ * prompt part is assumed to be cached at the first. Another upstream is chosen only if the first has no free slot, or more
+ * pending prefill work than recomputing the part costs; the second in rank is then preferred to all others.
  */
 final class CacheAffinityPlacement implements Placement {
 
