--- a/runtime/src/main/java/org/sassafrastrail/runtime/SettingsSchema.java
+++ b/runtime/src/main/java/org/sassafrastrail/runtime/SettingsSchema.java
@@ -10,8 +10,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 /**
- * Validates settings against a JSON schema. It implements the keywords that the schemas of this project use, because a
- * complete validator takes longer to load than the rest of a process.
+ * Validates settings against a JSON schema. It implements the keywords that the schemas of this project use, because
+ * loading a complete validator delays the start of a process.
  */
 final class SettingsSchema {
 
