--- a/gate-core/src/main/java/org/sassafrastrail/gate/VersionMoveHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/VersionMoveHandler.java
@@ -2,9 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Map;
-import java.util.Optional;
 import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
 
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -17,18 +16,18 @@
     /** Applies the orders. A trial goes on while its order stands, and the rejection of a version outlasts its order. */
     Transition<GatewayState, GatewayAction> movesChanged(
             GatewayState state, GatewayEvent.VersionMovesChanged event, Instant now) {
-        PMap<TargetName, VersionTrial> kept = HashTreePMap.from(state.versionTrials())
-                .minusAll(state.versionTrials().entrySet().stream()
-                        .filter(trial -> !trial.getValue().rejected())
-                        .filter(trial ->
-                                !event.moves().contains(trial.getValue().move()))
-                        .map(Map.Entry::getKey)
-                        .toList());
-        return Transition.to(state.withVersionTrials(event.moves().stream()
-                .filter(move -> !Optional.ofNullable(kept.get(move.target()))
-                        .map(VersionTrial::move)
-                        .equals(Optional.of(move)))
-                .reduce(kept, (trials, move) -> trials.plus(move.target(), VersionTrial.of(move)), PMap::plusAll)));
+        PMap<TargetName, VersionTrial> kept = HashTreePMap.from(state.versionTrials().values().stream()
+                .filter(trial -> trial.rejected() || event.moves().contains(trial.move()))
+                .collect(Collectors.toMap(trial -> trial.move().target(), trial -> trial)));
+        PMap<TargetName, VersionTrial> started = HashTreePMap.from(event.moves().stream()
+                .filter(move -> !isOnTrial(kept, move))
+                .collect(Collectors.toMap(VersionMove::target, VersionTrial::of)));
+        return Transition.to(state.withVersionTrials(kept.plusAll(started)));
+    }
+
+    private static boolean isOnTrial(PMap<TargetName, VersionTrial> trials, VersionMove move) {
+        VersionTrial trial = trials.get(move.target());
+        return trial != null && trial.move().equals(move);
     }
 
     /** Applies the rejection of a version by another gateway. */
