Name the parts of the prompt in the log line of a failed attempt

The line of an attempt that did not end well now names the shared parts of its prompt; lines of good requests are as before.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallRecorder.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallRecorder.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import org.sassafrastrail.gate.AttemptResult;
+import org.sassafrastrail.gate.CallDescription;
 import org.sassafrastrail.gate.Upstream;
 import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.RefusalReason;
@@ -38,13 +39,13 @@
     /**
      * An attempt ended.
      *
-     * @param request the caller's identifier of the request
+     * @param call the request
      * @param attempt the number of the attempt
      * @param upstream the upstream
      * @param result the result of the attempt
      * @param cause the status of the response, or the failure that occurred instead
      */
-    void attemptEnded(String request, int attempt, Upstream upstream, AttemptResult result, String cause);
+    void attemptEnded(CallDescription call, int attempt, Upstream upstream, AttemptResult result, String cause);
 
     /**
      * The exchange with a caller ended.
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -284,7 +284,7 @@
     }
 
     private void reportEnd(AttemptResult result, String cause) {
-        recorder.attemptEnded(description.request(), attemptNumber, upstream, result, cause);
+        recorder.attemptEnded(description, attemptNumber, upstream, result, cause);
         events.accept(new GatewayEvent.AttemptEnded(callNumber, attemptNumber, result));
     }
 
--- a/gateway/src/main/java/org/sassafrastrail/gateway/LoggingCallRecorder.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/LoggingCallRecorder.java
@@ -1,8 +1,12 @@
 package org.sassafrastrail.gateway;
 
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 import org.sassafrastrail.gate.AttemptResult;
+import org.sassafrastrail.gate.CallDescription;
+import org.sassafrastrail.gate.Prompt;
+import org.sassafrastrail.gate.PromptPart;
 import org.sassafrastrail.gate.Upstream;
 import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.RefusalReason;
@@ -56,20 +60,28 @@
     }
 
     @Override
-    public void attemptEnded(String request, int attempt, Upstream upstream, AttemptResult result, String cause) {
+    public void attemptEnded(CallDescription call, int attempt, Upstream upstream, AttemptResult result, String cause) {
         String name = result.getClass().getSimpleName();
         metrics.count("attempts." + name, 1);
         if (!(result instanceof AttemptResult.Delivered)) {
             log.info(
                     "attempt-ended",
-                    LogField.of("request", request),
+                    LogField.of("request", call.request()),
                     LogField.of("attempt", attempt),
                     LogField.of("upstream", upstream.identifier()),
                     LogField.of("result", name),
-                    LogField.of("cause", cause));
+                    LogField.of("cause", cause),
+                    LogField.of("parts", parts(call.prompt())));
         }
     }
 
+    /** Names the shared parts of a prompt, which show what the requests have in common that an upstream lost together. */
+    private static String parts(Prompt prompt) {
+        return prompt.parts().isEmpty()
+                ? NONE
+                : prompt.parts().stream().map(PromptPart::identifier).collect(Collectors.joining(","));
+    }
+
     @Override
     public void finished(FinishedCall call) {
         String route = call.description().route().name();
