--- a/gate-core/src/test/java/org/sassafrastrail/gate/FairShareTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/FairShareTest.java
@@ -19,7 +19,7 @@
     private static final double MIN_SHARE = 0.5;
     private static final double NEVER = SECONDS;
 
-    private static final GatewayLimits LIMITS = new GatewayLimits(
+    static final GatewayLimits LIMITS = new GatewayLimits(
             80,
             0.25,
             0.4,
--- a/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedEngine.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedEngine.java
@@ -3,7 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** Simulates an engine that prefills prompts sequentially and caches the most recently used parts. */
+/** Simulates an engine that prefills prompts sequentially, caches the most recently used parts, and may crash. */
 final class SimulatedEngine {
 
     private static final double PREFILL_TOKENS_PER_MILLISECOND = 87;
@@ -11,8 +11,42 @@
     private static final long CACHE_TOKENS = 360_000;
 
     private final Map<String, Integer> cached = new LinkedHashMap<>(16, 0.75F, true);
+    private final Map<Run, Boolean> running = new LinkedHashMap<>();
     private long cachedTokens;
     private double busyUntil;
+    private boolean crashed;
+
+    /** An attempt of a gateway for a request. */
+    record Run(int gateway, long call, int attempt) {}
+
+    void begin(Run run) {
+        running.put(run, false);
+    }
+
+    void responseStarted(Run run) {
+        running.put(run, true);
+    }
+
+    boolean isRunning(Run run) {
+        return running.containsKey(run);
+    }
+
+    /** Ends a run and returns whether it was running. */
+    boolean end(Run run) {
+        return running.remove(run) != null;
+    }
+
+    boolean isCrashed() {
+        return crashed;
+    }
+
+    /** Crashes the engine and returns its runs, each with whether its response had started. */
+    Map<Run, Boolean> crash() {
+        crashed = true;
+        Map<Run, Boolean> ended = new LinkedHashMap<>(running);
+        running.clear();
+        return ended;
+    }
 
     /**
      * Prefills a prompt.
--- a/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedFleet.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedFleet.java
@@ -33,6 +33,9 @@
     private static final double RETRY_DELAY_MILLISECONDS = 350;
     private static final int RETRIES = 1;
     private static final int SLOTS = 128;
+    private static final double REMOVAL_MILLISECONDS = 2000;
+    private static final double RESTART_MILLISECONDS = 3300;
+    private static final double POLL_MILLISECONDS = 1000;
     private static final Duration CALLER_TIMEOUT = Duration.ofSeconds(4);
 
     /** The total capacity of the engines with the cache hit rate of this simulation. */
@@ -81,6 +84,23 @@
         }
     }
 
+    /**
+     * A prompt part under which each engine crashes that starts a response to it.
+     *
+     * @param from when requests with it begin to come, in seconds
+     * @param until when they stop
+     * @param share the share of the requests that have it
+     * @param companions the number of sessions whose part stands beside it in turn
+     */
+    record DeadlyPart(double from, double until, double share, int companions) {
+
+        static final String IDENTIFIER = "deadly";
+
+        boolean isUsed(double second) {
+            return second >= from && second < until;
+        }
+    }
+
     /** An action at a virtual time; the sequence number orders events of the same time. */
     private record ScheduledEvent(double at, long sequence, Runnable action) {}
 
@@ -90,8 +110,12 @@
     private final List<GatewayState> states = new ArrayList<>();
     private final Map<String, SimulatedEngine> engines = new HashMap<>();
     private final Map<Long, Request> requests = new HashMap<>();
+    private final List<Double> crashes = new ArrayList<>();
+    private final List<Double> deadlyRuns = new ArrayList<>();
     private final GatewayCore core;
     private final Route route = GatewayDriver.route("tell", GatewayDriver.MODEL, false, true, 1, CALLER_TIMEOUT);
+    private PMap<UpstreamIdentifier, Upstream> registered = HashTreePMap.empty();
+    private Optional<DeadlyPart> deadlyPart = Optional.empty();
     private double now;
     private long sequence;
     private long nextNumber;
@@ -99,19 +123,13 @@
     SimulatedFleet(GatewayLimits limits, int gateways, int engineCount, long seed) {
         this.core = new GatewayCore(limits);
         this.random = new Random(seed);
-        PMap<UpstreamIdentifier, Upstream> registered = HashTreePMap.empty();
-        for (int number = 0; number < engineCount; number++) {
-            Upstream engine = GatewayDriver.upstream("engine-" + number, GatewayDriver.MODEL, SLOTS);
-            registered = registered.plus(engine.identifier(), engine);
-            engines.put(engine.identifier().value(), new SimulatedEngine());
-        }
+        IntStream.range(0, engineCount).forEach(number -> startEngine("engine-" + number));
         for (int gateway = 0; gateway < gateways; gateway++) {
             states.add(GatewayState.start("gateway-" + gateway, Duration.ofSeconds(4)));
         }
-        PMap<UpstreamIdentifier, Upstream> upstreams = registered;
         IntStream.range(0, gateways).forEach(gateway -> {
             handle(gateway, new GatewayEvent.ConfigurationReceived(GatewayDriver.configuration(1, TOKENS_PER_SECOND)));
-            handle(gateway, new GatewayEvent.UpstreamsChanged(upstreams));
+            handle(gateway, new GatewayEvent.UpstreamsChanged(registered));
             handle(gateway, new GatewayEvent.GatewaysChanged(names(gateways)));
             IntStream.range(0, gateways)
                     .filter(peer -> peer != gateway)
@@ -120,6 +138,17 @@
         });
     }
 
+    private void startEngine(String name) {
+        Upstream engine = GatewayDriver.upstream(name, GatewayDriver.MODEL, SLOTS);
+        registered = registered.plus(engine.identifier(), engine);
+        engines.put(name, new SimulatedEngine());
+    }
+
+    /** Lets a share of the requests have a part under which engines crash. */
+    void addDeadlyPart(DeadlyPart part) {
+        deadlyPart = Optional.of(part);
+    }
+
     private static PSet<String> names(int gateways) {
         return HashTreePSet.from(IntStream.range(0, gateways)
                 .mapToObj(number -> "gateway-" + number)
@@ -155,6 +184,10 @@
 
     /** Creates a prompt with one of a few shared system parts, a session's part and the request's own part. */
     private Prompt prompt(Account account) {
+        Optional<DeadlyPart> deadly = deadlyPart.filter(part -> part.isUsed(now / 1000));
+        if (deadly.isPresent() && random.nextDouble() < deadly.get().share()) {
+            return deadlyPrompt(deadly.get());
+        }
         double kind = random.nextDouble();
         if (kind < 0.385) {
             return prompt("report", 4, 2520, 3780, session(account, 650), ownTokens(2890, 39_600), 56);
@@ -164,6 +197,21 @@
                 : prompt("cab", 40, 103, 69, session(account, 410), ownTokens(543, 2310), 280);
     }
 
+    /** Creates a prompt with the deadly part between parts that sound prompts have too. */
+    private Prompt deadlyPrompt(DeadlyPart deadly) {
+        int companion = random.nextInt(deadly.companions());
+        return new Prompt(
+                TreePVector.singleton(new PromptPart("report-system-" + companion % 4, 2520))
+                        .plus(new PromptPart(DeadlyPart.IDENTIFIER, 1000))
+                        .plus(new PromptPart("report-companion-" + companion, 3780)),
+                7300 + ownTokens(2890, 39_600),
+                56);
+    }
+
+    static boolean isDeadly(Prompt prompt) {
+        return prompt.parts().stream().anyMatch(part -> part.identifier().equals(DeadlyPart.IDENTIFIER));
+    }
+
     /** Picks one of the account's sessions. The sessions of a day are divided among the accounts by their rates. */
     private String session(Account account, int sessions) {
         int accountSessions = (int) Math.max(3, sessions * account.perSecond() / 830);
@@ -224,6 +272,9 @@
                 int other = random.nextInt(states.size());
                 schedule(now + RETRY_DELAY_MILLISECONDS, () -> arrive(other, request.retriedAt(now)));
             }
+        } else if (action instanceof GatewayAction.CancelAttempt cancel) {
+            engines.values()
+                    .forEach(engine -> engine.end(new SimulatedEngine.Run(gateway, cancel.call(), cancel.attempt())));
         } else if (action instanceof GatewayAction.SendReport send) {
             IntStream.range(0, states.size())
                     .filter(peer -> peer != gateway)
@@ -235,18 +286,65 @@
     }
 
     private void run(int gateway, GatewayAction.Dispatch dispatch) {
-        double start = engines.get(dispatch.upstream().identifier().value())
-                .prefill(now, requests.get(dispatch.call()).prompt(), "own-" + dispatch.call());
-        schedule(start, () -> {
-            requests.computeIfPresent(dispatch.call(), (number, request) -> request.responseStarted(now));
-            handle(gateway, new GatewayEvent.ResponseStarted(dispatch.call(), dispatch.attempt(), Optional.empty()));
+        SimulatedEngine engine = engines.get(dispatch.upstream().identifier().value());
+        SimulatedEngine.Run run = new SimulatedEngine.Run(gateway, dispatch.call(), dispatch.attempt());
+        if (engine.isCrashed()) {
+            end(run, new AttemptResult.NotConnected());
+            return;
+        }
+        Prompt prompt = requests.get(dispatch.call()).prompt();
+        if (isDeadly(prompt)) {
+            deadlyRuns.add(now / 1000);
+        }
+        double start = engine.prefill(now, prompt, "own-" + dispatch.call());
+        engine.begin(run);
+        schedule(start, () -> startResponse(engine, dispatch.upstream(), run));
+    }
+
+    private void startResponse(SimulatedEngine engine, Upstream upstream, SimulatedEngine.Run run) {
+        if (!engine.isRunning(run)) {
+            return;
+        }
+        if (isDeadly(requests.get(run.call()).prompt())) {
+            crash(engine, upstream);
+            return;
+        }
+        engine.responseStarted(run);
+        requests.computeIfPresent(run.call(), (number, request) -> request.responseStarted(now));
+        handle(run.gateway(), new GatewayEvent.ResponseStarted(run.call(), run.attempt(), Optional.empty()));
+        schedule(now + RESPONSE_MILLISECONDS, () -> {
+            if (engine.end(run)) {
+                end(run, new AttemptResult.Delivered());
+            }
         });
-        schedule(
-                start + RESPONSE_MILLISECONDS,
-                () -> handle(
-                        gateway,
-                        new GatewayEvent.AttemptEnded(
-                                dispatch.call(), dispatch.attempt(), new AttemptResult.Delivered())));
+    }
+
+    private void end(SimulatedEngine.Run run, AttemptResult result) {
+        handle(run.gateway(), new GatewayEvent.AttemptEnded(run.call(), run.attempt(), result));
+    }
+
+    /** Ends all runs of an engine, whose address refuses connections until another incarnation of it registers. */
+    private void crash(SimulatedEngine engine, Upstream upstream) {
+        crashes.add(now / 1000);
+        engine.crash()
+                .forEach((run, started) -> schedule(
+                        now + LINK_MILLISECONDS,
+                        () -> end(run, started ? new AttemptResult.Broken() : new AttemptResult.Lost())));
+        schedule(now + REMOVAL_MILLISECONDS, () -> {
+            registered = registered.minus(upstream.identifier());
+            publishRegistry();
+        });
+        schedule(now + RESTART_MILLISECONDS, () -> {
+            startEngine(upstream.identifier().value() + "-again");
+            publishRegistry();
+        });
+    }
+
+    private void publishRegistry() {
+        IntStream.range(0, states.size())
+                .forEach(gateway -> schedule(
+                        now + random.nextDouble() * POLL_MILLISECONDS,
+                        () -> handle(gateway, new GatewayEvent.UpstreamsChanged(registered))));
     }
 
     /** Runs all events before a virtual time. */
@@ -261,4 +359,14 @@
     Collection<Request> requests() {
         return requests.values();
     }
+
+    /** Returns the times of the engines' crashes, in seconds. */
+    List<Double> crashes() {
+        return List.copyOf(crashes);
+    }
+
+    /** Returns the times at which requests with the deadly part reached engines, in seconds. */
+    List<Double> deadlyRuns() {
+        return List.copyOf(deadlyRuns);
+    }
 }
