--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
@@ -25,7 +25,7 @@
     record CallerDisconnected(long call) implements GatewayEvent {}
 
     /**
-     * The upstream started its response, so it has prefilled the prompt.
+     * The upstream started its response, so it has prefilled the prompt. A stream has started with its first event.
      *
      * @param call the request
      * @param attempt the attempt
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -54,6 +54,7 @@
     private Instant expiresAt = Instant.MAX;
     private Upstream upstream;
     private UpstreamResponseHead responseHead;
+    private boolean startReported;
     private Optional<ByteArrayOutputStream> buffered = Optional.empty();
     private Optional<BufferedResponse> storedFailure = Optional.empty();
     private ExchangeOutcome outcome = ExchangeOutcome.ANSWERED;
@@ -80,7 +81,7 @@
         this.recorder = recorder;
         this.responseBuffers = upstreams.responseBuffers();
         this.clock = clock;
-        this.splitter = description.route().resumable() ? Optional.of(new EventStreamSplitter()) : Optional.empty();
+        this.splitter = description.route().streaming() ? Optional.of(new EventStreamSplitter()) : Optional.empty();
         this.response = new CallerResponse(exchange, () -> attempt.resume(), this::callerDisconnected);
     }
 
@@ -150,6 +151,7 @@
         expiresAt = dispatch.expiresAt();
         upstream = dispatch.upstream();
         responseHead = null;
+        startReported = false;
         splitter.ifPresent(EventStreamSplitter::discardPartial);
         buffered = Optional.empty();
         attempt = new UpstreamAttempt(
@@ -198,13 +200,6 @@
     @Override
     public void responseStarted(UpstreamResponseHead started) {
         responseHead = started;
-        if (timeToFirstByte.isEmpty()) {
-            timeToFirstByte = Optional.of(Duration.between(description.arrivedAt(), clock.instant()));
-            recorder.stepReached(
-                    description.account(),
-                    AccountActivity.Step.BEGAN,
-                    description.prompt().cost());
-        }
         boolean small = started.length().isPresent() && started.length().getAsLong() <= MAX_BUFFERED_RESPONSE_BYTES;
         boolean failed = started.kind() == ResponseKind.FAILED;
         boolean bufferable =
@@ -212,7 +207,30 @@
         if (!response.hasStarted() && (failed || bufferable)) {
             buffered = Optional.of(new ByteArrayOutputStream());
         }
-        events.accept(new GatewayEvent.ResponseStarted(callNumber, attemptNumber, started.load()));
+        if (buffered.isPresent() || events().isEmpty()) {
+            reportStart();
+        }
+    }
+
+    /** Returns the splitter if the body is a stream of events. */
+    private Optional<EventStreamSplitter> events() {
+        return splitter.filter(present -> responseHead.eventStream());
+    }
+
+    /** Reports that the upstream has started to respond. An upstream may send the head of a stream and then fail. */
+    private void reportStart() {
+        if (startReported) {
+            return;
+        }
+        startReported = true;
+        if (timeToFirstByte.isEmpty()) {
+            timeToFirstByte = Optional.of(Duration.between(description.arrivedAt(), clock.instant()));
+            recorder.stepReached(
+                    description.account(),
+                    AccountActivity.Step.BEGAN,
+                    description.prompt().cost());
+        }
+        events.accept(new GatewayEvent.ResponseStarted(callNumber, attemptNumber, responseHead.load()));
     }
 
     @Override
@@ -220,9 +238,9 @@
         if (buffered.isPresent()) {
             return buffer(part, buffered.get());
         }
-        ByteBuffer ready = splitter.map(eventSplitter -> ByteBuffer.wrap(eventSplitter.completeEvents(part)))
+        ByteBuffer ready = events().map(eventSplitter -> ByteBuffer.wrap(eventSplitter.completeEvents(part)))
                 .orElse(part);
-        if (splitter.filter(EventStreamSplitter::isOverLimit).isPresent()) {
+        if (events().filter(EventStreamSplitter::isOverLimit).isPresent()) {
             attempt.fail("event not terminated within the size limit");
             return false;
         }
@@ -231,6 +249,9 @@
             attempt.fail(RESPONSE_MEMORY_FULL);
             return false;
         }
+        if (ready.hasRemaining()) {
+            reportStart();
+        }
         return response.write(responseHead, ready);
     }
 
@@ -262,24 +283,41 @@
 
     @Override
     public void attemptEnded(AttemptResult result, String cause) {
-        boolean complete = result instanceof AttemptResult.Delivered;
-        if (complete && buffered.isPresent()) {
-            BufferedResponse bufferedResponse =
-                    new BufferedResponse(responseHead, buffered.get().toByteArray());
-            if (responseHead.kind() == ResponseKind.FAILED) {
-                storedFailure = Optional.of(bufferedResponse);
-                reportEnd(new AttemptResult.Failed(), "status " + responseHead.status());
-            } else {
-                deliver(bufferedResponse);
-                reportEnd(result, cause);
-            }
-        } else if (complete) {
+        if (!(result instanceof AttemptResult.Delivered)) {
+            failed(result, cause);
+        } else if (buffered.isPresent()) {
+            bufferedResponseReceived(
+                    new BufferedResponse(responseHead, buffered.get().toByteArray()));
+        } else if (isCutOff()) {
+            failed(new AttemptResult.Broken(), "the stream ends before an event ends");
+        } else {
             response.end(
-                    responseHead, splitter.map(EventStreamSplitter::remainder).orElse(NO_BYTES));
+                    responseHead, events().map(EventStreamSplitter::remainder).orElse(NO_BYTES));
             reportEnd(result, cause);
+        }
+    }
+
+    /**
+     * Returns whether a stream of events has ended without its end: inside an event, or before the first one if only the
+     * end of the connection shows the end of the body.
+     */
+    private boolean isCutOff() {
+        return events().filter(present -> present.isInsideEvent() || !startReported && !responseHead.framed())
+                .isPresent();
+    }
+
+    private void failed(AttemptResult result, String cause) {
+        boolean unseen = result instanceof AttemptResult.Broken && !response.hasStarted();
+        reportEnd(unseen ? new AttemptResult.Lost() : result, cause);
+    }
+
+    private void bufferedResponseReceived(BufferedResponse bufferedResponse) {
+        if (responseHead.kind() == ResponseKind.FAILED) {
+            storedFailure = Optional.of(bufferedResponse);
+            reportEnd(new AttemptResult.Failed(), "status " + responseHead.status());
         } else {
-            boolean partial = result instanceof AttemptResult.Broken && response.hasStarted();
-            reportEnd(result instanceof AttemptResult.Broken && !partial ? new AttemptResult.Lost() : result, cause);
+            deliver(bufferedResponse);
+            reportEnd(new AttemptResult.Delivered(), "");
         }
     }
 
--- a/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamSplitter.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamSplitter.java
@@ -45,6 +45,11 @@
         return partial.size() > MAX_EVENT_BYTES;
     }
 
+    /** Returns whether the stream is inside an event. Line breaks after the last event belong to none. */
+    boolean isInsideEvent() {
+        return !partial.toString(StandardCharsets.UTF_8).isBlank();
+    }
+
     /** Returns the size of the incomplete event. */
     int partialBytes() {
         return partial.size();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -135,10 +135,8 @@
     private void responseReceived(ClientExchange exchange) {
         ClientResponse response = exchange.getResponse();
         HeaderMap headers = response.getResponseHeaders();
-        ResponseKind kind = ResponseClassifier.classify(
-                requestIdentifier,
-                protocol.readResponseFacts(response.getResponseCode(), headers),
-                listener.hasResponseStarted());
+        ResponseFacts facts = protocol.readResponseFacts(response.getResponseCode(), headers);
+        ResponseKind kind = ResponseClassifier.classify(requestIdentifier, facts, listener.hasResponseStarted());
         if (UNUSABLE.contains(kind)) {
             fail(kind + ", status " + response.getResponseCode());
             return;
@@ -158,6 +156,8 @@
                 protocol.callerResponseHeaders(headers),
                 kind,
                 length(headers),
+                isFramed(headers),
+                facts.eventStream(),
                 protocol.readReportedLoad(headers)));
         source.getReadSetter().set(channel -> read());
         read();
@@ -247,8 +247,7 @@
         boolean closes = Optional.ofNullable(headers.getFirst(Headers.CONNECTION))
                 .filter(value -> value.toLowerCase(Locale.ROOT).contains("close"))
                 .isPresent();
-        boolean framed = headers.contains(Headers.CONTENT_LENGTH) || headers.contains(Headers.TRANSFER_ENCODING);
-        if (closes || !framed) {
+        if (closes || !isFramed(headers)) {
             return Duration.ZERO;
         }
         return Optional.ofNullable(headers.getFirst(Headers.KEEP_ALIVE))
@@ -256,6 +255,10 @@
                 .orElse(DEFAULT_KEEP_ALIVE);
     }
 
+    private static boolean isFramed(HeaderMap headers) {
+        return headers.contains(Headers.CONTENT_LENGTH) || headers.contains(Headers.TRANSFER_ENCODING);
+    }
+
     private static Optional<Duration> timeout(String keepAlive) {
         int index = keepAlive.indexOf(KEEP_ALIVE_TIMEOUT);
         if (index < 0) {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamResponseHead.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamResponseHead.java
@@ -13,7 +13,15 @@
  * @param headers the headers to forward to the caller
  * @param kind the kind of response
  * @param length the length of the body, if stated
+ * @param framed whether the head says how the body ends; if not, it ends with the connection
+ * @param eventStream whether the body is a stream of events
  * @param load the load that the upstream reports with it, if any
  */
 record UpstreamResponseHead(
-        int status, HeaderMap headers, ResponseKind kind, OptionalLong length, Optional<ReportedLoad> load) {}
+        int status,
+        HeaderMap headers,
+        ResponseKind kind,
+        OptionalLong length,
+        boolean framed,
+        boolean eventStream,
+        Optional<ReportedLoad> load) {}
