Tell a request that was not sent from an upstream that cannot be reached

A request whose caller had left, or whose deadline had passed, when its connection was ready was reported like a failed connection. Three in a row ejected a sound upstream for two seconds, and a refused connection cannot be evidence of a crash while it may mean this. It is a result of its own now, NotSent, which says nothing about the upstream.

GatewayCoreTest.requestsThatWereNotSentDoNotCountAgainstUpstream failed with the former result and passes with the new one.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
@@ -74,12 +74,13 @@
 
     /**
      * Updates the upstream's failure count and ejection from the result. A response with an error status counts as a
-     * success here, because the upstream responded; a declined request says nothing about its health.
+     * success here, because the upstream responded; a request that was declined or not sent says nothing about its health.
      */
     private Transition<GatewayState, GatewayAction> updateUpstream(
             GatewayState state, Call call, AttemptResult result, Instant now) {
         return state.upstreamOf(call.attempt().orElseThrow())
-                .filter(upstream -> !(result instanceof AttemptResult.Declined))
+                .filter(upstream ->
+                        !(result instanceof AttemptResult.Declined || result instanceof AttemptResult.NotSent))
                 .map(upstream -> updateUpstream(state, upstream, result, now))
                 .orElseGet(() -> Transition.to(state));
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/AttemptResult.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AttemptResult.java
@@ -9,7 +9,16 @@
      * @return whether the request was certainly not executed
      */
     default boolean provesNotRun() {
-        return this instanceof NotConnected || this instanceof Declined || this instanceof WrongUpstream;
+        return !reached() || this instanceof Declined || this instanceof WrongUpstream;
+    }
+
+    /**
+     * Returns whether the request was sent to the upstream.
+     *
+     * @return whether at least a part of it was sent
+     */
+    default boolean reached() {
+        return !(this instanceof NotConnected || this instanceof NotSent);
     }
 
     /** The complete response was delivered to the caller. */
@@ -18,6 +27,9 @@
     /** The connection failed and nothing was sent. */
     record NotConnected() implements AttemptResult {}
 
+    /** The caller had disconnected, or the deadline had passed, before anything was sent. */
+    record NotSent() implements AttemptResult {}
+
     /** The upstream itself reported that it did not execute the request. */
     record Declined() implements AttemptResult {}
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Call.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Call.java
@@ -70,14 +70,13 @@
      * reached.
      */
     Call requeued(Instant now, AttemptResult result) {
-        boolean reached = !(result instanceof AttemptResult.NotConnected);
         return new Call(
                 number,
                 description,
                 target,
                 now,
                 attempts,
-                reached ? upstreamsReached : upstreamsReached - 1,
+                result.reached() ? upstreamsReached : upstreamsReached - 1,
                 Optional.empty(),
                 triedUpstreams,
                 failureStored || result instanceof AttemptResult.Failed,
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
@@ -111,6 +111,17 @@
                 .isEqualTo(4);
     }
 
+    /** Guards against the ejection of a sound upstream because of callers that left before their requests were sent. */
+    @Test
+    void requestsThatWereNotSentDoNotCountAgainstUpstream() {
+        gateway.register(GatewayDriver.upstream("one", GatewayDriver.SERVICE));
+        LongStream.rangeClosed(1, GatewayDriver.LIMITS.ejectionThreshold()).forEach(number -> {
+            gateway.arrive(number, PLAIN_ROUTE);
+            gateway.endAttempt(number, 1, new AttemptResult.NotSent());
+        });
+        assertThat(GatewayDriver.dispatchedTo(gateway.arrive(9, PLAIN_ROUTE))).contains("one");
+    }
+
     /**
      * Guards against FAIR: an account that requested many times its fair share left others less than half of theirs.
      */
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -98,7 +98,7 @@
             connection.client().sendRequest(ready.get(), callback(this::requestSent, this::fail));
         } else {
             connectionPool.release(upstream, opened, DEFAULT_KEEP_ALIVE);
-            end(new AttemptResult.NotConnected(), "caller disconnected or deadline passed before the request was sent");
+            end(new AttemptResult.NotSent(), "caller disconnected or deadline passed before the request was sent");
         }
     }
 
