--- a/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
@@ -25,6 +25,9 @@
         if (!limits.drain().admits(description, state.stoppingSince(), now)) {
             return refuse(state, call, RefusalReason.ROUTER_STOPPING, now);
         }
+        if (state.crashes().isCause(description.prompt().partIdentifiers())) {
+            return refuse(state, call, RefusalReason.UPSTREAM_CRASHES, now);
+        }
         GatewayState recorded = state.with(
                         target.target(), state.retryBudget(target.target()).withRequest(now))
                 .with(state.shares()
@@ -117,7 +120,7 @@
                 : new GatewayAction.Refuse(
                         call.number(),
                         reason,
-                        limits.retryAfter(),
+                        reason == RefusalReason.UPSTREAM_CRASHES ? limits.crashRetention() : limits.retryAfter(),
                         Duration.between(call.queuedSince(), now),
                         scheduler.capacitySnapshot(state, call, now));
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
@@ -2,8 +2,10 @@
 
 import java.time.Instant;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.gate.crash.UpstreamIncarnation;
 
 /**
  * Handles changes of the cluster state: the configuration, registered upstreams, failure domains and other gateways.
@@ -11,10 +13,12 @@
 final class ClusterStateHandler {
 
     private final GatewayLimits limits;
+    private final CrashHandler crashes;
     private final Scheduler scheduler;
 
-    ClusterStateHandler(GatewayLimits limits, Scheduler scheduler) {
+    ClusterStateHandler(GatewayLimits limits, CrashHandler crashes, Scheduler scheduler) {
         this.limits = limits;
+        this.crashes = crashes;
         this.scheduler = scheduler;
     }
 
@@ -42,10 +46,21 @@
                         (next, known) -> Transition.<GatewayState, GatewayAction>to(next.with(known.unregistered()))
                                 .then(statusReport(known.upstream(), UpstreamStatus.GONE)));
         return unregistered
+                .and(next -> crashes.unregistered(next, ended(state, event), now))
                 .forEach(event.upstreams().values().stream(), (next, entry) -> register(next, entry, now))
                 .and(next -> scheduler.dispatchAll(next, now));
     }
 
+    /** Returns the incarnations that are no longer registered, or whose identifier has another one now. */
+    private static Stream<UpstreamIncarnation> ended(GatewayState state, GatewayEvent.UpstreamsChanged event) {
+        return state.upstreams().values().stream()
+                .map(UpstreamState::upstream)
+                .filter(known -> Optional.ofNullable(event.upstreams().get(known.identifier()))
+                        .filter(known::isSameIncarnation)
+                        .isEmpty())
+                .map(Upstream::incarnation);
+    }
+
     private Transition<GatewayState, GatewayAction> register(GatewayState state, Upstream entry, Instant now) {
         Optional<UpstreamState> known = Optional.ofNullable(state.upstreams().get(entry.identifier()))
                 .filter(present -> present.upstream().isSameIncarnation(entry));
@@ -85,7 +100,8 @@
 
     Transition<GatewayState, GatewayAction> peerConnected(
             GatewayState state, GatewayEvent.PeerConnected event, Instant now) {
-        return Transition.to(state.with(state.peers().withConnected(event.peer())));
+        return Transition.to(state.with(state.peers().withConnected(event.peer()))
+                .with(state.crashes().asUnshared()));
     }
 
     Transition<GatewayState, GatewayAction> peerReportReceived(
--- /dev/null
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CrashHandler.java
@@ -0,0 +1,129 @@
+package org.sassafrastrail.gate;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.pcollections.PSet;
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.gate.crash.Crash;
+import org.sassafrastrail.gate.crash.CrashAttribution;
+import org.sassafrastrail.gate.crash.CrashEvidence;
+import org.sassafrastrail.gate.crash.UpstreamIncarnation;
+import org.sassafrastrail.model.RefusalReason;
+
+/**
+ * Collects the evidence of crashes of upstreams and shares it with the peers. Requests to which the crashes are attributed
+ * are refused, and those that have been sent are cancelled before the upstream responds to them.
+ */
+final class CrashHandler {
+
+    private final GatewayLimits limits;
+    private final CrashAttribution attribution;
+    private final CallHandler calls;
+
+    CrashHandler(GatewayLimits limits, CrashAttribution attribution, CallHandler calls) {
+        this.limits = limits;
+        this.attribution = attribution;
+        this.calls = calls;
+    }
+
+    /** Records the end of an attempt: a loss before the response, or a refused connection, which confirms a crash. */
+    Transition<GatewayState, GatewayAction> attemptEnded(
+            GatewayState state, Call call, AttemptResult result, Instant now) {
+        Attempt attempt = call.attempt().orElseThrow();
+        UpstreamIncarnation upstream = attempt.upstream().incarnation();
+        Set<String> parts = call.description().prompt().partIdentifiers();
+        boolean lost = result instanceof AttemptResult.Lost || result instanceof AttemptResult.Broken;
+        if (result instanceof AttemptResult.NotConnected) {
+            return update(state, state.crashes().withEnded(upstream), now);
+        }
+        return lost && attempt.prefilling() && !parts.isEmpty()
+                ? update(state, state.crashes().withLost(upstream, parts, attempt.dispatchedAt(), now), now)
+                : Transition.to(state);
+    }
+
+    /** Records that an upstream started the response to a request. */
+    Transition<GatewayState, GatewayAction> served(GatewayState state, Call call, Instant now) {
+        return state.crashes().crashes().isEmpty()
+                ? Transition.to(state)
+                : update(
+                        state,
+                        state.crashes().withServed(call.description().prompt().partIdentifiers()),
+                        now);
+    }
+
+    /** Records that upstreams are no longer registered, which confirms their crashes. */
+    Transition<GatewayState, GatewayAction> unregistered(
+            GatewayState state, Stream<UpstreamIncarnation> upstreams, Instant now) {
+        return update(
+                state, upstreams.reduce(state.crashes(), CrashEvidence::withEnded, (first, second) -> second), now);
+    }
+
+    Transition<GatewayState, GatewayAction> peerCrashesReceived(
+            GatewayState state, GatewayEvent.PeerCrashesReceived event, Instant now) {
+        Map<UpstreamIncarnation, Crash> reported = event.crashes().stream()
+                .collect(Collectors.toMap(
+                        CrashReport::upstream, report -> report.toCrash(now), (first, repeated) -> repeated));
+        return update(state, state.crashes().mergedWith(reported), now);
+    }
+
+    /** Tells the peers what they have not been told. */
+    Transition<GatewayState, GatewayAction> share(GatewayState state, Instant now) {
+        List<CrashReport> reports = state.crashes().toShare().entrySet().stream()
+                .map(crash -> CrashReport.of(crash.getKey(), crash.getValue(), now))
+                .toList();
+        return reports.isEmpty()
+                ? Transition.to(state)
+                : Transition.<GatewayState, GatewayAction>to(
+                                state.with(state.crashes().asShared()))
+                        .then(new GatewayAction.ShareCrashes(reports));
+    }
+
+    /** Drops old evidence. */
+    Transition<GatewayState, GatewayAction> expire(GatewayState state, Instant now) {
+        return update(state, state.crashes().withoutExpired(limits.crashRetention(), now), now);
+    }
+
+    private Transition<GatewayState, GatewayAction> update(GatewayState state, CrashEvidence evidence, Instant now) {
+        if (evidence == state.crashes()) {
+            return Transition.to(state);
+        }
+        CrashEvidence attributed = evidence.attributedBy(attribution);
+        PSet<PSet<String>> before = state.crashes().causes();
+        Transition<GatewayState, GatewayAction> updated = Transition.to(state.with(attributed));
+        if (attributed.causes().equals(before)) {
+            return updated;
+        }
+        return updated.thenAll(reports(attributed.causes().minusAll(before), true))
+                .thenAll(reports(before.minusAll(attributed.causes()), false))
+                .and(next -> endCauses(next, now));
+    }
+
+    private static List<GatewayAction> reports(PSet<PSet<String>> causes, boolean refused) {
+        return causes.stream()
+                .map(parts -> (GatewayAction) new GatewayAction.ReportCrashCause(parts, refused))
+                .toList();
+    }
+
+    /** Ends the requests under which upstreams would crash, as far as no upstream has started to respond to them. */
+    private Transition<GatewayState, GatewayAction> endCauses(GatewayState state, Instant now) {
+        return Transition.<GatewayState, GatewayAction>to(state)
+                .forEach(
+                        state.calls().values().stream()
+                                .filter(call -> state.crashes()
+                                        .isCause(call.description().prompt().partIdentifiers()))
+                                .filter(call ->
+                                        call.attempt().map(Attempt::prefilling).orElse(true)),
+                        (next, call) -> end(next, call, now));
+    }
+
+    private Transition<GatewayState, GatewayAction> end(GatewayState state, Call call, Instant now) {
+        return call.isQueued()
+                ? calls.refuse(state, call, RefusalReason.UPSTREAM_CRASHES, now)
+                : CallHandler.cancel(state, call).then(new GatewayAction.ReportUnknownOutcome(call.number(), false));
+    }
+}
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
+import java.util.Set;
 
 import org.sassafrastrail.model.RefusalReason;
 
@@ -102,6 +104,21 @@
      */
     record SendReport(GatewayReport report) implements GatewayAction {}
 
+    /**
+     * Tell the other gateways what this one knows of crashes of upstreams.
+     *
+     * @param crashes the crashes
+     */
+    record ShareCrashes(List<CrashReport> crashes) implements GatewayAction {}
+
+    /**
+     * Log that requests with a set of prompt parts are refused, or are no longer, because upstreams crash under them.
+     *
+     * @param parts the parts
+     * @param refused whether they are refused from now on
+     */
+    record ReportCrashCause(Set<String> parts, boolean refused) implements GatewayAction {}
+
     /**
      * Record for all gateways and the operators that the new version of a move is worse and gets no more requests.
      *
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
@@ -5,6 +5,7 @@
 import org.sassafrastrail.decision.DecisionCore;
 import org.sassafrastrail.decision.EventRouter;
 import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.gate.crash.RecurringPartAttribution;
 
 /** The decision core of a gateway: routing, admission, scheduling, placement, retries and upstream health. */
 public final class GatewayCore implements DecisionCore<GatewayState, GatewayEvent, GatewayAction> {
@@ -19,10 +20,12 @@
     public GatewayCore(GatewayLimits limits) {
         Scheduler scheduler = new Scheduler(limits, new CacheAffinityPlacement(limits), new LeastRequestPlacement());
         CallHandler calls = new CallHandler(limits, scheduler);
-        AttemptHandler attempts = new AttemptHandler(limits, calls, scheduler);
-        ClusterStateHandler clusterState = new ClusterStateHandler(limits, scheduler);
+        CrashHandler crashes =
+                new CrashHandler(limits, new RecurringPartAttribution(limits.minCrashesOfCause()), calls);
+        AttemptHandler attempts = new AttemptHandler(limits, calls, crashes, scheduler);
+        ClusterStateHandler clusterState = new ClusterStateHandler(limits, crashes, scheduler);
         VersionMoveHandler versionMoves = new VersionMoveHandler();
-        TickHandler ticks = new TickHandler(limits, calls, scheduler);
+        TickHandler ticks = new TickHandler(limits, calls, crashes, scheduler);
         this.handlers = EventRouter.<GatewayState, GatewayEvent, GatewayAction>over(GatewayEvent.class)
                 .on(GatewayEvent.CallArrived.class, calls::callArrived)
                 .on(GatewayEvent.CallerDisconnected.class, calls::callerDisconnected)
@@ -34,6 +37,7 @@
                 .on(GatewayEvent.GatewaysChanged.class, clusterState::gatewaysChanged)
                 .on(GatewayEvent.PeerConnected.class, clusterState::peerConnected)
                 .on(GatewayEvent.PeerReportReceived.class, clusterState::peerReportReceived)
+                .on(GatewayEvent.PeerCrashesReceived.class, crashes::peerCrashesReceived)
                 .on(GatewayEvent.PeerDisconnected.class, clusterState::peerDisconnected)
                 .on(GatewayEvent.VersionMovesChanged.class, versionMoves::movesChanged)
                 .on(GatewayEvent.VersionRejected.class, versionMoves::versionRejected)
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
@@ -1,5 +1,6 @@
 package org.sassafrastrail.gate;
 
+import java.util.List;
 import java.util.Optional;
 
 import org.pcollections.PMap;
@@ -29,9 +30,11 @@
      *
      * @param call the request
      * @param attempt the attempt
+     * @param successful whether it is the response that was asked for, and not a failure
      * @param load the load that the upstream reported with it, if any
      */
-    record ResponseStarted(long call, int attempt, Optional<ReportedLoad> load) implements GatewayEvent {}
+    record ResponseStarted(long call, int attempt, boolean successful, Optional<ReportedLoad> load)
+            implements GatewayEvent {}
 
     /**
      * An attempt ended.
@@ -92,6 +95,13 @@
      */
     record PeerDisconnected(String peer) implements GatewayEvent {}
 
+    /**
+     * Another gateway told what it knows of crashes of upstreams.
+     *
+     * @param crashes the crashes
+     */
+    record PeerCrashesReceived(List<CrashReport> crashes) implements GatewayEvent {}
+
     /**
      * The operators' orders to move to other versions changed.
      *
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayLimits.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayLimits.java
@@ -20,6 +20,8 @@
  * @param newVersionExtra the requests over the fleet that a new version may get beyond that share
  * @param ejectionThreshold the number of consecutive failures after which an upstream is ejected
  * @param ejectionDuration how long an ejected upstream gets no requests
+ * @param minCrashesOfCause the number of crashes of upstreams in which a prompt part recurs before it is held to cause them
+ * @param crashRetention how long a crash of an upstream counts as evidence
  * @param reportSpacing the average time between two reports that a gateway receives, over all its peers
  * @param drain the times of a graceful shutdown
  */
@@ -38,5 +40,7 @@
         double newVersionExtra,
         int ejectionThreshold,
         Duration ejectionDuration,
+        int minCrashesOfCause,
+        Duration crashRetention,
         Duration reportSpacing,
         DrainSchedule drain) {}
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -10,6 +10,7 @@
 import org.pcollections.OrderedPSet;
 import org.pcollections.PMap;
 import org.pcollections.PSet;
+import org.sassafrastrail.gate.crash.CrashEvidence;
 import org.sassafrastrail.model.FailureDomainName;
 import org.sassafrastrail.model.TargetName;
 
@@ -26,6 +27,7 @@
  * @param retryBudgets the retry budget of each target
  * @param stoppingSince when the graceful shutdown began, empty if the gateway is not stopping
  * @param versionTrials the moves to another version, by target
+ * @param crashes what is known of crashes of upstreams
  */
 public record GatewayState(
         Optional<GatewayConfiguration> configuration,
@@ -37,7 +39,8 @@
         AccountShares shares,
         PMap<TargetName, RetryBudget> retryBudgets,
         Optional<Instant> stoppingSince,
-        PMap<TargetName, VersionTrial> versionTrials) {
+        PMap<TargetName, VersionTrial> versionTrials,
+        CrashEvidence crashes) {
 
     /**
      * Creates the initial state.
@@ -57,7 +60,8 @@
                 AccountShares.forQuotaWindow(quotaWindow),
                 HashTreePMap.empty(),
                 Optional.empty(),
-                HashTreePMap.empty());
+                HashTreePMap.empty(),
+                CrashEvidence.NONE);
     }
 
     /**
@@ -112,7 +116,8 @@
                 shares,
                 retryBudgets,
                 stoppingSince,
-                versionTrials);
+                versionTrials,
+                crashes);
     }
 
     GatewayState withUpstreams(PMap<UpstreamIdentifier, UpstreamState> next) {
@@ -126,7 +131,8 @@
                 shares,
                 retryBudgets,
                 stoppingSince,
-                versionTrials);
+                versionTrials,
+                crashes);
     }
 
     GatewayState with(UpstreamState next) {
@@ -154,7 +160,8 @@
                 shares,
                 retryBudgets,
                 stoppingSince,
-                versionTrials);
+                versionTrials,
+                crashes);
     }
 
     GatewayState withDomainsOut(PSet<FailureDomainName> next) {
@@ -168,7 +175,8 @@
                 shares,
                 retryBudgets,
                 stoppingSince,
-                versionTrials);
+                versionTrials,
+                crashes);
     }
 
     GatewayState with(Peers next) {
@@ -182,7 +190,8 @@
                 shares,
                 retryBudgets,
                 stoppingSince,
-                versionTrials);
+                versionTrials,
+                crashes);
     }
 
     GatewayState with(AccountShares next) {
@@ -196,7 +205,8 @@
                 next,
                 retryBudgets,
                 stoppingSince,
-                versionTrials);
+                versionTrials,
+                crashes);
     }
 
     GatewayState with(TargetName target, RetryBudget next) {
@@ -210,12 +220,38 @@
                 shares,
                 retryBudgets.plus(target, next),
                 stoppingSince,
-                versionTrials);
+                versionTrials,
+                crashes);
     }
 
     GatewayState withVersionTrials(PMap<TargetName, VersionTrial> next) {
         return new GatewayState(
-                configuration, upstreams, calls, queued, domainsOut, peers, shares, retryBudgets, stoppingSince, next);
+                configuration,
+                upstreams,
+                calls,
+                queued,
+                domainsOut,
+                peers,
+                shares,
+                retryBudgets,
+                stoppingSince,
+                next,
+                crashes);
+    }
+
+    GatewayState with(CrashEvidence next) {
+        return new GatewayState(
+                configuration,
+                upstreams,
+                calls,
+                queued,
+                domainsOut,
+                peers,
+                shares,
+                retryBudgets,
+                stoppingSince,
+                versionTrials,
+                next);
     }
 
     GatewayState stopping(Instant now) {
@@ -229,7 +265,8 @@
                 shares,
                 retryBudgets,
                 Optional.of(now),
-                versionTrials);
+                versionTrials,
+                crashes);
     }
 
     RetryBudget retryBudget(TargetName target) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Prompt.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Prompt.java
@@ -1,6 +1,8 @@
 package org.sassafrastrail.gate;
 
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.pcollections.PVector;
 import org.pcollections.TreePVector;
@@ -24,6 +26,11 @@
         return parts.isEmpty() ? Optional.empty() : Optional.of(parts.get(parts.size() - 1));
     }
 
+    /** Returns the identifiers of the shared parts. */
+    Set<String> partIdentifiers() {
+        return parts.stream().map(PromptPart::identifier).collect(Collectors.toUnmodifiableSet());
+    }
+
     long sharedTokens() {
         return parts.stream().mapToLong(PromptPart::tokens).sum();
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
@@ -11,11 +11,13 @@
 
     private final GatewayLimits limits;
     private final CallHandler calls;
+    private final CrashHandler crashes;
     private final Scheduler scheduler;
 
-    TickHandler(GatewayLimits limits, CallHandler calls, Scheduler scheduler) {
+    TickHandler(GatewayLimits limits, CallHandler calls, CrashHandler crashes, Scheduler scheduler) {
         this.limits = limits;
         this.calls = calls;
+        this.crashes = crashes;
         this.scheduler = scheduler;
     }
 
@@ -25,6 +27,7 @@
                 .and(next -> calls.expire(next, now))
                 .and(VersionMoveHandler::rejectWorseVersions)
                 .and(next -> endEjections(next, now))
+                .and(next -> crashes.expire(next, now))
                 .and(next -> reportToPeers(next, now))
                 .and(next -> checkDrained(next, now));
     }
@@ -44,10 +47,10 @@
         }
         Map<UpstreamIdentifier, PeerLoad> loads = loads(state);
         GatewayReport report = last.next(loads, state.shares(), now);
+        Transition<GatewayState, GatewayAction> shared = crashes.share(state, now);
         return report.isEmpty() && !report.full()
-                ? Transition.to(state)
-                : Transition.<GatewayState, GatewayAction>to(
-                                state.with(state.peers().withLastReport(last.sent(report, loads, now))))
+                ? shared
+                : shared.with(shared.state().with(state.peers().withLastReport(last.sent(report, loads, now))))
                         .then(new GatewayAction.SendReport(report));
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Upstream.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Upstream.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 
+import org.sassafrastrail.gate.crash.UpstreamIncarnation;
 import org.sassafrastrail.model.FailureDomainName;
 import org.sassafrastrail.model.TargetName;
 
@@ -32,6 +33,10 @@
         Duration coldRemaining,
         long startedAtMillis) {
 
+    UpstreamIncarnation incarnation() {
+        return new UpstreamIncarnation(identifier.value(), startedAtMillis);
+    }
+
     /** Returns whether the other entry is of the same process. An address or identifier alone may be reused. */
     boolean isSameIncarnation(Upstream other) {
         return identifier.equals(other.identifier)
--- /dev/null
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/crash/Crash.java
@@ -0,0 +1,67 @@
+package org.sassafrastrail.gate.crash;
+
+import java.time.Instant;
+import java.util.Collection;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
+import org.pcollections.PMap;
+import org.pcollections.PSet;
+
+/**
+ * The loss of requests at an upstream that may have crashed. The fields only ever grow, so gateways can merge what they
+ * know in any order.
+ *
+ * @param observedAt when the first loss became known here
+ * @param confirmed whether the upstream refused connections afterwards or was removed from the registry, so that it crashed
+ * @param suspects the parts of lost prompts, each with when the latest lost request with it was dispatched
+ * @param cleared the parts to which an upstream has responded since
+ */
+public record Crash(Instant observedAt, boolean confirmed, PMap<String, Instant> suspects, PSet<String> cleared) {
+
+    private static final int MAX_SUSPECTS = 512;
+
+    /** Creates a crash that is not confirmed, without suspects. */
+    static Crash observed(Instant now) {
+        return new Crash(now, false, HashTreePMap.empty(), HashTreePSet.empty());
+    }
+
+    Crash asConfirmed() {
+        return new Crash(observedAt, true, suspects, cleared);
+    }
+
+    /** Adds the parts of a lost prompt, as far as the number of suspects is limited. */
+    Crash withLost(Collection<String> parts, Instant dispatchedAt) {
+        Map<String, Instant> added = parts.stream()
+                .filter(part -> !cleared.contains(part))
+                .filter(part -> suspects.containsKey(part) || suspects.size() < MAX_SUSPECTS)
+                .distinct()
+                .collect(Collectors.toMap(part -> part, part -> later(suspects.get(part), dispatchedAt)));
+        return new Crash(observedAt, confirmed, suspects.plusAll(added), cleared);
+    }
+
+    /** Clears parts to which an upstream responded, whether they are suspects already or not. */
+    Crash withCleared(Set<String> parts) {
+        return new Crash(observedAt, confirmed, suspects.minusAll(parts), cleared.plusAll(parts));
+    }
+
+    /** Adds what another gateway knows of the same crash. */
+    Crash mergedWith(Crash other) {
+        Crash merged = new Crash(observedAt, confirmed || other.confirmed, suspects, cleared);
+        for (Map.Entry<String, Instant> suspect : other.suspects.entrySet()) {
+            merged = merged.withLost(Set.of(suspect.getKey()), suspect.getValue());
+        }
+        return merged.withCleared(other.cleared);
+    }
+
+    boolean isSuspect(String part) {
+        return suspects.containsKey(part);
+    }
+
+    private static Instant later(Instant known, Instant other) {
+        return known == null || other.isAfter(known) ? other : known;
+    }
+}
--- a/gate-core/src/test/java/org/sassafrastrail/gate/FairShareTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/FairShareTest.java
@@ -34,6 +34,8 @@
             35,
             3,
             Duration.ofSeconds(2),
+            2,
+            Duration.ofMinutes(10),
             Duration.ofMillis(4),
             GatewayDriver.LIMITS.drain());
 
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
@@ -71,7 +71,8 @@
         assertThat(GatewayDriver.dispatchedTo(gateway.arrive(2, MODEL_ROUTE, prompt, "account")))
                 .isPresent();
         assertThat(gateway.arrive(3, MODEL_ROUTE, prompt, "account")).isEmpty();
-        assertThat(GatewayDriver.dispatchedTo(gateway.handle(new GatewayEvent.ResponseStarted(1, 1, Optional.empty()))))
+        assertThat(GatewayDriver.dispatchedTo(
+                        gateway.handle(new GatewayEvent.ResponseStarted(1, 1, true, Optional.empty()))))
                 .isPresent();
     }
 
@@ -83,7 +84,7 @@
         gateway.arrive(2, MODEL_ROUTE, prompt, "greedy");
         gateway.arrive(3, MODEL_ROUTE, prompt, "greedy");
         gateway.arrive(4, MODEL_ROUTE, prompt, "modest");
-        List<GatewayAction> actions = gateway.handle(new GatewayEvent.ResponseStarted(1, 1, Optional.empty()));
+        List<GatewayAction> actions = gateway.handle(new GatewayEvent.ResponseStarted(1, 1, true, Optional.empty()));
         assertThat(GatewayDriver.first(actions, GatewayAction.Dispatch.class)
                         .orElseThrow()
                         .call())
@@ -104,7 +105,7 @@
                         HashTreePMap.singleton("elsewhere", new AccountTokens(900_000, 900_000)))));
         gateway.arrive(3, MODEL_ROUTE, prompt, "elsewhere");
         gateway.arrive(4, MODEL_ROUTE, prompt, "here");
-        List<GatewayAction> actions = gateway.handle(new GatewayEvent.ResponseStarted(1, 1, Optional.empty()));
+        List<GatewayAction> actions = gateway.handle(new GatewayEvent.ResponseStarted(1, 1, true, Optional.empty()));
         assertThat(GatewayDriver.first(actions, GatewayAction.Dispatch.class)
                         .orElseThrow()
                         .call())
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GatewayDriver.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GatewayDriver.java
@@ -37,6 +37,8 @@
             5,
             3,
             Duration.ofSeconds(2),
+            2,
+            Duration.ofMinutes(1),
             Duration.ofMillis(100),
             new DrainSchedule(
                     Duration.ofSeconds(1), Duration.ofSeconds(1), Duration.ofMillis(4800), Duration.ofSeconds(5)));
@@ -146,7 +148,8 @@
         Transition<GatewayState, GatewayAction> transition = core.handle(state, event, now);
         state = transition.state();
         return transition.actions().stream()
-                .filter(action -> !(action instanceof GatewayAction.SendReport))
+                .filter(action ->
+                        !(action instanceof GatewayAction.SendReport || action instanceof GatewayAction.ShareCrashes))
                 .toList();
     }
 
@@ -158,6 +161,14 @@
         return first(transition.actions(), GatewayAction.SendReport.class);
     }
 
+    /** Advances the clock and returns what the gateway tells its peers of crashes. */
+    GatewayAction.ShareCrashes crashesSharedAfter(Duration time) {
+        now = now.plus(time);
+        Transition<GatewayState, GatewayAction> transition = core.handle(state, new GatewayEvent.Ticked(), now);
+        state = transition.state();
+        return first(transition.actions(), GatewayAction.ShareCrashes.class).orElseThrow();
+    }
+
     List<GatewayAction> peerLoad(String peer, String upstream, int running, long pendingPrefillTokens) {
         return handle(new GatewayEvent.PeerReportReceived(
                 peer,
--- a/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedFleet.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedFleet.java
@@ -275,6 +275,12 @@
         } else if (action instanceof GatewayAction.CancelAttempt cancel) {
             engines.values()
                     .forEach(engine -> engine.end(new SimulatedEngine.Run(gateway, cancel.call(), cancel.attempt())));
+        } else if (action instanceof GatewayAction.ShareCrashes share) {
+            IntStream.range(0, states.size())
+                    .filter(peer -> peer != gateway)
+                    .forEach(peer -> schedule(
+                            now + LINK_MILLISECONDS,
+                            () -> handle(peer, new GatewayEvent.PeerCrashesReceived(share.crashes()))));
         } else if (action instanceof GatewayAction.SendReport send) {
             IntStream.range(0, states.size())
                     .filter(peer -> peer != gateway)
@@ -311,7 +317,7 @@
         }
         engine.responseStarted(run);
         requests.computeIfPresent(run.call(), (number, request) -> request.responseStarted(now));
-        handle(run.gateway(), new GatewayEvent.ResponseStarted(run.call(), run.attempt(), Optional.empty()));
+        handle(run.gateway(), new GatewayEvent.ResponseStarted(run.call(), run.attempt(), true, Optional.empty()));
         schedule(now + RESPONSE_MILLISECONDS, () -> {
             if (engine.end(run)) {
                 end(run, new AttemptResult.Delivered());
--- a/gate-core/src/test/java/org/sassafrastrail/gate/UnknownLoadTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/UnknownLoadTest.java
@@ -18,7 +18,7 @@
         GatewayDriver gateway = new GatewayDriver();
         gateway.register(GatewayDriver.upstream("one", GatewayDriver.SERVICE));
         gateway.arrive(1, ROUTE);
-        gateway.handle(new GatewayEvent.ResponseStarted(1, 1, Optional.of(new ReportedLoad(8, 3, 8))));
+        gateway.handle(new GatewayEvent.ResponseStarted(1, 1, true, Optional.of(new ReportedLoad(8, 3, 8))));
         gateway.register(GatewayDriver.upstream("two", GatewayDriver.SERVICE));
         gateway.arrive(2, ROUTE);
         assertThat(GatewayDriver.dispatchedTo(gateway.arrive(3, ROUTE))).contains("two");
--- a/gate-core/src/test/java/org/sassafrastrail/gate/VersionTrialTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/VersionTrialTest.java
@@ -50,7 +50,7 @@
                     boolean isNew = GatewayDriver.dispatchedTo(gateway.arrive(number, ROUTE))
                             .equals(Optional.of("new"));
                     gateway.advance(isNew ? timeOfNew : FAST);
-                    gateway.handle(new GatewayEvent.ResponseStarted(number, 1, Optional.empty()));
+                    gateway.handle(new GatewayEvent.ResponseStarted(number, 1, true, Optional.empty()));
                     gateway.endAttempt(number, 1, isNew ? resultOfNew : new AttemptResult.Delivered());
                     return isNew;
                 })
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -230,7 +230,8 @@
                     AccountActivity.Step.BEGAN,
                     description.prompt().cost());
         }
-        events.accept(new GatewayEvent.ResponseStarted(callNumber, attemptNumber, responseHead.load()));
+        events.accept(new GatewayEvent.ResponseStarted(
+                callNumber, attemptNumber, responseHead.kind() == ResponseKind.ANSWERED, responseHead.load()));
     }
 
     @Override
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
@@ -2,10 +2,10 @@
 
 import java.util.Locale;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import io.undertow.util.StatusCodes;
 import org.sassafrastrail.gate.GatewayAction;
-import org.sassafrastrail.gate.GatewayReport;
 import org.sassafrastrail.gate.VersionMove;
 import org.sassafrastrail.runtime.ActionExecutor;
 import org.sassafrastrail.runtime.EventLog;
@@ -16,7 +16,7 @@
 final class GatewayActionExecutor implements ActionExecutor<GatewayAction> {
 
     private final CallerFrontEnd callers;
-    private final Consumer<GatewayReport> reportSender;
+    private final PeerNotifier peers;
     private final Consumer<VersionMove> versionRejecter;
     private final Runnable drained;
     private final CallRecorder recorder;
@@ -25,14 +25,14 @@
 
     GatewayActionExecutor(
             CallerFrontEnd callers,
-            Consumer<GatewayReport> reportSender,
+            PeerNotifier peers,
             Consumer<VersionMove> versionRejecter,
             Runnable drained,
             CallRecorder recorder,
             Metrics metrics,
             EventLog log) {
         this.callers = callers;
-        this.reportSender = reportSender;
+        this.peers = peers;
         this.versionRejecter = versionRejecter;
         this.drained = drained;
         this.recorder = recorder;
@@ -61,7 +61,11 @@
         } else if (action instanceof GatewayAction.ReportConfigurationInForce inForce) {
             log.info("configuration-in-force", LogField.of("version", inForce.version()));
         } else if (action instanceof GatewayAction.SendReport send) {
-            reportSender.accept(send.report());
+            peers.sendReport(send.report());
+        } else if (action instanceof GatewayAction.ShareCrashes share) {
+            peers.shareCrashes(share.crashes());
+        } else if (action instanceof GatewayAction.ReportCrashCause cause) {
+            recordCrashCause(cause);
         } else if (action instanceof GatewayAction.RejectVersion reject) {
             log.warn(
                     "version-rejected",
@@ -124,6 +128,13 @@
                 LogField.of("detail", report.detail()));
     }
 
+    private void recordCrashCause(GatewayAction.ReportCrashCause cause) {
+        metrics.count("crash-causes." + (cause.refused() ? "refused" : "released"), 1);
+        log.warn(
+                cause.refused() ? "crash-cause-refused" : "crash-cause-released",
+                LogField.of("parts", cause.parts().stream().sorted().collect(Collectors.joining(","))));
+    }
+
     private void stepReached(long number, AccountActivity.Step step) {
         callers.call(number)
                 .map(CallerExchange::description)
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -84,7 +84,7 @@
         this.activity = new ActivityLog(accounts, this::state, this::lag, callers::connectionCount, clock, log);
         this.peers = new PeerLinks(settings, new Incarnation(clock.millis()), this::post, metrics, log);
         GatewayActionExecutor actions = new GatewayActionExecutor(
-                callers, peers::sendReport, clusterState::rejectVersion, drained::countDown, recorder, metrics, log);
+                callers, peers, clusterState::rejectVersion, drained::countDown, recorder, metrics, log);
         this.control = new ControlLoop<>(
                 "control",
                 new GatewayCore(settings.limits()),
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
@@ -62,6 +62,8 @@
     private static final double DEFAULT_QUOTA_WINDOW_SECONDS = 4;
     private static final int EJECTION_THRESHOLD = 3;
     private static final Duration EJECTION_DURATION = Duration.ofSeconds(2);
+    private static final int MIN_CRASHES_OF_CAUSE = 2;
+    private static final Duration CRASH_RETENTION = Duration.ofMinutes(10);
     private static final Duration REPORT_SPACING = Duration.ofMillis(4);
 
     /**
@@ -104,6 +106,8 @@
                 SAFETY_FACTOR * orDefault(newVersionExtra, DEFAULT_NEW_VERSION_EXTRA),
                 EJECTION_THRESHOLD,
                 EJECTION_DURATION,
+                MIN_CRASHES_OF_CAUSE,
+                CRASH_RETENTION,
                 REPORT_SPACING,
                 drain());
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -11,10 +11,12 @@
 
 import org.sassafrastrail.durable.TableRow;
 import org.sassafrastrail.durable.WatchedTable;
+import org.sassafrastrail.gate.CrashReport;
 import org.sassafrastrail.gate.GatewayEvent;
 import org.sassafrastrail.gate.GatewayReport;
 import org.sassafrastrail.messages.CopiedRow;
 import org.sassafrastrail.messages.CopyRequest;
+import org.sassafrastrail.messages.CrashUpdate;
 import org.sassafrastrail.messages.Hello;
 import org.sassafrastrail.messages.LoadReport;
 import org.sassafrastrail.messages.Message;
@@ -36,7 +38,7 @@
 import org.sassafrastrail.wire.MessagePackCodec;
 
 /** The links to the other gateways, which carry load reports, and copies of tables while the store is unavailable. */
-final class PeerLinks implements Service, GatewayPeers, LinkListener {
+final class PeerLinks implements Service, GatewayPeers, PeerNotifier, LinkListener {
 
     private static final Duration REDIAL_INTERVAL = Duration.ofSeconds(1);
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(800);
@@ -137,11 +139,16 @@
         sendToAll(new CopyRequest(table, version));
     }
 
-    /** Sends a report of this gateway to all peers. */
-    void sendReport(GatewayReport report) {
+    @Override
+    public void sendReport(GatewayReport report) {
         sendToAll(LoadReportMapper.toMessage(report));
     }
 
+    @Override
+    public void shareCrashes(List<CrashReport> crashes) {
+        sendToAll(CrashUpdateMapper.toMessage(crashes));
+    }
+
     private void sendToAll(Message message) {
         links.values().forEach(peer -> peer.stream().findFirst().ifPresent(link -> link.send(message)));
     }
@@ -159,6 +166,8 @@
         if (message instanceof LoadReport report) {
             events.accept(new GatewayEvent.PeerReportReceived(
                     link.peer().node().value(), LoadReportMapper.fromMessage(report)));
+        } else if (message instanceof CrashUpdate update) {
+            events.accept(new GatewayEvent.PeerCrashesReceived(CrashUpdateMapper.fromMessage(update)));
         } else if (message instanceof CopyRequest request) {
             Optional.ofNullable(tables.get(request.table()))
                     .map(WatchedTable::snapshot)
--- /dev/null
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerNotifier.java
@@ -0,0 +1,16 @@
+package org.sassafrastrail.gateway;
+
+import java.util.List;
+
+import org.sassafrastrail.gate.CrashReport;
+import org.sassafrastrail.gate.GatewayReport;
+
+/** Sends what this gateway has decided to tell its peers. */
+interface PeerNotifier {
+
+    /** Sends a report on this gateway's load and client accounts to all peers. */
+    void sendReport(GatewayReport report);
+
+    /** Tells all peers what this gateway has learnt of crashes of upstreams. */
+    void shareCrashes(List<CrashReport> crashes);
+}
--- a/messages/src/main/java/org/sassafrastrail/messages/Message.java
+++ b/messages/src/main/java/org/sassafrastrail/messages/Message.java
@@ -16,4 +16,5 @@
                 RulesAnnouncement,
                 LoadReport,
                 CopyRequest,
-                TableCopy {}
+                TableCopy,
+                CrashUpdate {}
--- a/model/src/main/java/org/sassafrastrail/model/RefusalReason.java
+++ b/model/src/main/java/org/sassafrastrail/model/RefusalReason.java
@@ -32,6 +32,8 @@
     CALLER_GONE,
     /** The request reached the maximum useful queueing time without a free slot at any upstream. */
     HELD_TOO_LONG,
+    /** Upstreams crash under such requests. */
+    UPSTREAM_CRASHES,
     /** Every upstream that was tried reported that it did not run the request, or was unreachable. */
     UPSTREAM_DECLINED
 }
--- a/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
@@ -6,6 +6,7 @@
 import org.sassafrastrail.messages.AttemptQuery;
 import org.sassafrastrail.messages.AttemptReport;
 import org.sassafrastrail.messages.CopyRequest;
+import org.sassafrastrail.messages.CrashUpdate;
 import org.sassafrastrail.messages.Demand;
 import org.sassafrastrail.messages.EvidenceUpdate;
 import org.sassafrastrail.messages.GrantOffer;
@@ -36,7 +37,8 @@
     RULES_ANNOUNCEMENT(12, RulesAnnouncement.class),
     LOAD_REPORT(13, LoadReport.class),
     COPY_REQUEST(14, CopyRequest.class),
-    TABLE_COPY(15, TableCopy.class);
+    TABLE_COPY(15, TableCopy.class),
+    CRASH_UPDATE(16, CrashUpdate.class);
 
     private final byte number;
     private final Class<? extends Message> type;
--- a/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
@@ -23,7 +23,9 @@
 import org.sassafrastrail.messages.EvidenceEntry;
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.messages.MoveProgress;
+import org.sassafrastrail.messages.SuspectPart;
 import org.sassafrastrail.messages.Suspension;
+import org.sassafrastrail.messages.UpstreamCrash;
 import org.sassafrastrail.messages.UpstreamEndpoint;
 import org.sassafrastrail.messages.UpstreamLoad;
 import org.sassafrastrail.model.AccountName;
@@ -68,8 +70,10 @@
             MoveIdentifier.class,
             MoveProgress.class,
             RuleDocument.class,
+            SuspectPart.class,
             Suspension.class,
             TrafficShare.class,
+            UpstreamCrash.class,
             UpstreamLoad.class,
             UpstreamEndpoint.class,
             UpstreamProfile.class);
--- a/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
+++ b/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
@@ -17,6 +17,7 @@
 import org.sassafrastrail.messages.AttemptQuery;
 import org.sassafrastrail.messages.AttemptReport;
 import org.sassafrastrail.messages.CopyRequest;
+import org.sassafrastrail.messages.CrashUpdate;
 import org.sassafrastrail.messages.Demand;
 import org.sassafrastrail.messages.EvidenceEntry;
 import org.sassafrastrail.messages.EvidenceUpdate;
@@ -31,8 +32,10 @@
 import org.sassafrastrail.messages.MoveUpdate;
 import org.sassafrastrail.messages.RulesAnnouncement;
 import org.sassafrastrail.messages.RulesRequest;
+import org.sassafrastrail.messages.SuspectPart;
 import org.sassafrastrail.messages.Suspension;
 import org.sassafrastrail.messages.TableCopy;
+import org.sassafrastrail.messages.UpstreamCrash;
 import org.sassafrastrail.messages.UpstreamEndpoint;
 import org.sassafrastrail.messages.UpstreamLoad;
 import org.sassafrastrail.model.AccountName;
@@ -75,6 +78,8 @@
                         true,
                         List.of(new UpstreamLoad("i-1", 3, 4000), new UpstreamLoad("i-2", 1, 0)),
                         List.of(new AccountUsage("kitchen", 90_000, 70_000))),
+                new CrashUpdate(List.of(new UpstreamCrash(
+                        "i-1", 1_770_000_000_000L, 40, true, List.of(new SuspectPart("a1b2", 90)), List.of("c3d4")))),
                 new CopyRequest("servers", 17),
                 new TableCopy("servers", 18, List.of()),
                 new Demand(List.of(new AccountDemand(new AccountName("kitchen"), 3, 100, 20))),
