Keep crashes of one moment and parts that were served apart from causes (LOST)

Cause: a request lost at one engine was retried 7 ms later at another that was down already. That counted as a second crash under its parts, and a refused part is never served again, so nothing cleared it.

Now crashes count one after the other only if the lost request was sent 100 ms after the one before was known; a part that was served in the half minute before takes four crashes in place of two, at any gateway that hears of it, and does not belong to the cause of another. Refused parts thus have two crashes, apart, and no response before, between or since.

RecurringPartAttributionTest.upstreamsWhoseCrashesAreSeenOneAfterTheOtherCountOnce failed before.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/CrashHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CrashHandler.java
@@ -48,12 +48,8 @@
 
     /** Records that an upstream started the response to a request. */
     Transition<GatewayState, GatewayAction> served(GatewayState state, Call call, Instant now) {
-        return state.crashes().crashes().isEmpty()
-                ? Transition.to(state)
-                : update(
-                        state,
-                        state.crashes().withServed(call.description().prompt().partIdentifiers()),
-                        now);
+        Set<String> parts = call.description().prompt().partIdentifiers();
+        return update(state, state.crashes().withServed(parts, now), now);
     }
 
     /** Records that upstreams are no longer registered, which confirms their crashes. */
@@ -89,8 +85,8 @@
     }
 
     private Transition<GatewayState, GatewayAction> update(GatewayState state, CrashEvidence evidence, Instant now) {
-        if (evidence == state.crashes()) {
-            return Transition.to(state);
+        if (evidence.crashes() == state.crashes().crashes()) {
+            return Transition.to(evidence == state.crashes() ? state : state.with(evidence));
         }
         CrashEvidence attributed = evidence.attributedBy(attribution);
         PSet<PSet<String>> before = state.crashes().causes();
--- a/gate-core/src/main/java/org/sassafrastrail/gate/CrashReport.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CrashReport.java
@@ -18,6 +18,7 @@
  * @param age the time since the gateway observed the crash
  * @param confirmed whether the gateway knows that the upstream crashed
  * @param suspects the parts of lost prompts, each with the time since the latest request with it was dispatched
+ * @param trusted the suspects to which an upstream had responded shortly before
  * @param cleared the parts to which an upstream has responded since
  */
 public record CrashReport(
@@ -25,6 +26,7 @@
         Duration age,
         boolean confirmed,
         Map<String, Duration> suspects,
+        Set<String> trusted,
         Set<String> cleared) {
 
     static CrashReport of(UpstreamIncarnation upstream, Crash crash, Instant now) {
@@ -35,6 +37,7 @@
                 crash.suspects().entrySet().stream()
                         .collect(Collectors.toUnmodifiableMap(
                                 Map.Entry::getKey, suspect -> Duration.between(suspect.getValue(), now))),
+                crash.trusted(),
                 crash.cleared());
     }
 
@@ -45,6 +48,7 @@
                 HashTreePMap.from(suspects.entrySet().stream()
                         .collect(Collectors.toUnmodifiableMap(
                                 Map.Entry::getKey, suspect -> now.minus(suspect.getValue())))),
+                HashTreePSet.from(trusted),
                 HashTreePSet.from(cleared));
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/crash/Crash.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/crash/Crash.java
@@ -18,19 +18,25 @@
  * @param observedAt when the first loss became known here
  * @param confirmed whether the upstream refused connections afterwards or was removed from the registry, so that it crashed
  * @param suspects the parts of lost prompts, each with when the latest lost request with it was dispatched
+ * @param trusted the suspects to which an upstream had responded shortly before
  * @param cleared the parts to which an upstream has responded since
  */
-public record Crash(Instant observedAt, boolean confirmed, PMap<String, Instant> suspects, PSet<String> cleared) {
+public record Crash(
+        Instant observedAt,
+        boolean confirmed,
+        PMap<String, Instant> suspects,
+        PSet<String> trusted,
+        PSet<String> cleared) {
 
     private static final int MAX_SUSPECTS = 512;
 
     /** Creates a crash that is not confirmed, without suspects. */
     static Crash observed(Instant now) {
-        return new Crash(now, false, HashTreePMap.empty(), HashTreePSet.empty());
+        return new Crash(now, false, HashTreePMap.empty(), HashTreePSet.empty(), HashTreePSet.empty());
     }
 
     Crash asConfirmed() {
-        return new Crash(observedAt, true, suspects, cleared);
+        return new Crash(observedAt, true, suspects, trusted, cleared);
     }
 
     /** Adds the parts of a lost prompt, as far as the number of suspects is limited. */
@@ -40,27 +46,40 @@
                 .filter(part -> suspects.containsKey(part) || suspects.size() < MAX_SUSPECTS)
                 .distinct()
                 .collect(Collectors.toMap(part -> part, part -> later(suspects.get(part), dispatchedAt)));
-        return new Crash(observedAt, confirmed, suspects.plusAll(added), cleared);
+        return new Crash(observedAt, confirmed, suspects.plusAll(added), trusted, cleared);
     }
 
     /** Clears parts to which an upstream responded, whether they are suspects already or not. */
     Crash withCleared(Set<String> parts) {
-        return new Crash(observedAt, confirmed, suspects.minusAll(parts), cleared.plusAll(parts));
+        return new Crash(
+                observedAt, confirmed, suspects.minusAll(parts), trusted.minusAll(parts), cleared.plusAll(parts));
+    }
+
+    /** Marks suspects to which an upstream had responded shortly before. */
+    Crash withTrusted(Set<String> parts) {
+        Set<String> added = parts.stream().filter(suspects::containsKey).collect(Collectors.toUnmodifiableSet());
+        return trusted.containsAll(added)
+                ? this
+                : new Crash(observedAt, confirmed, suspects, trusted.plusAll(added), cleared);
     }
 
     /** Adds what another gateway knows of the same crash. */
     Crash mergedWith(Crash other) {
-        Crash merged = new Crash(observedAt, confirmed || other.confirmed, suspects, cleared);
+        Crash merged = new Crash(observedAt, confirmed || other.confirmed, suspects, trusted, cleared);
         for (Map.Entry<String, Instant> suspect : other.suspects.entrySet()) {
             merged = merged.withLost(Set.of(suspect.getKey()), suspect.getValue());
         }
-        return merged.withCleared(other.cleared);
+        return merged.withTrusted(other.trusted).withCleared(other.cleared);
     }
 
     boolean isSuspect(String part) {
         return suspects.containsKey(part);
     }
 
+    boolean isTrusted(String part) {
+        return trusted.contains(part);
+    }
+
     private static Instant later(Instant known, Instant other) {
         return known == null || other.isAfter(known) ? other : known;
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/crash/CrashEvidence.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/crash/CrashEvidence.java
@@ -19,13 +19,17 @@
  * @param crashes the crashes, by the incarnation of the upstream
  * @param unshared the incarnations of which the gateway knows more than it has told its peers
  * @param causes the sets of parts of prompts under which upstreams crash
+ * @param served the parts to which upstreams responded lately
  */
 public record CrashEvidence(
-        PMap<UpstreamIncarnation, Crash> crashes, PSet<UpstreamIncarnation> unshared, PSet<PSet<String>> causes) {
+        PMap<UpstreamIncarnation, Crash> crashes,
+        PSet<UpstreamIncarnation> unshared,
+        PSet<PSet<String>> causes,
+        ServedParts served) {
 
     /** The evidence of a gateway that knows of no crash. */
     public static final CrashEvidence NONE =
-            new CrashEvidence(HashTreePMap.empty(), HashTreePSet.empty(), HashTreePSet.empty());
+            new CrashEvidence(HashTreePMap.empty(), HashTreePSet.empty(), HashTreePSet.empty(), ServedParts.NONE);
 
     private static final int MAX_CRASHES = 128;
 
@@ -44,7 +48,7 @@
     public CrashEvidence withLost(
             UpstreamIncarnation upstream, Collection<String> parts, Instant dispatchedAt, Instant now) {
         Crash known = crashes.getOrDefault(upstream, Crash.observed(now));
-        return with(upstream, known.withLost(parts, dispatchedAt));
+        return with(upstream, withTrusted(known.withLost(parts, dispatchedAt)));
     }
 
     /**
@@ -62,13 +66,16 @@
      * Clears the parts of a prompt to which an upstream responded.
      *
      * @param parts the parts
+     * @param now the time of the response
      * @return the evidence without them as suspects of any known crash
      */
-    public CrashEvidence withServed(Set<String> parts) {
+    public CrashEvidence withServed(Set<String> parts, Instant now) {
+        ServedParts next = served.with(parts, now);
+        CrashEvidence remembered = next == served ? this : new CrashEvidence(crashes, unshared, causes, next);
         return crashes.entrySet().stream()
                 .filter(crash -> parts.stream().anyMatch(crash.getValue()::isSuspect))
                 .reduce(
-                        this,
+                        remembered,
                         (evidence, crash) -> evidence.with(
                                 crash.getKey(), crash.getValue().withCleared(suspectsAmong(parts, crash.getValue()))),
                         (first, second) -> second);
@@ -85,16 +92,26 @@
      * @return the evidence with them
      */
     public CrashEvidence mergedWith(Map<UpstreamIncarnation, Crash> reported) {
-        PMap<UpstreamIncarnation, Crash> merged = crashes;
-        for (Map.Entry<UpstreamIncarnation, Crash> crash : reported.entrySet()) {
-            Crash known = merged.get(crash.getKey());
-            merged = merged.plus(crash.getKey(), known == null ? crash.getValue() : known.mergedWith(crash.getValue()));
-        }
-        return new CrashEvidence(withinLimit(merged), unshared, causes);
+        return reported.entrySet().stream()
+                .reduce(
+                        this,
+                        (evidence, crash) -> evidence.mergedWith(crash.getKey(), crash.getValue()),
+                        (first, second) -> second);
+    }
+
+    private CrashEvidence mergedWith(UpstreamIncarnation upstream, Crash reported) {
+        Crash known = crashes.get(upstream);
+        Crash merged = withTrusted(known == null ? reported : known.mergedWith(reported));
+        return new CrashEvidence(withinLimit(crashes.plus(upstream, merged)), unshared, causes, served);
+    }
+
+    private Crash withTrusted(Crash crash) {
+        return crash.withTrusted(
+                crash.suspects().keySet().stream().filter(served::contains).collect(Collectors.toUnmodifiableSet()));
     }
 
     private CrashEvidence with(UpstreamIncarnation upstream, Crash crash) {
-        return new CrashEvidence(withinLimit(crashes.plus(upstream, crash)), unshared.plus(upstream), causes);
+        return new CrashEvidence(withinLimit(crashes.plus(upstream, crash)), unshared.plus(upstream), causes, served);
     }
 
     /** Drops the oldest crash if there are too many. */
@@ -121,7 +138,7 @@
                 .collect(Collectors.toUnmodifiableSet());
         return expired.isEmpty()
                 ? this
-                : new CrashEvidence(crashes.minusAll(expired), unshared.minusAll(expired), causes);
+                : new CrashEvidence(crashes.minusAll(expired), unshared.minusAll(expired), causes, served);
     }
 
     private static Instant expiresAt(Crash crash, Duration retention) {
@@ -136,7 +153,7 @@
      * @return the evidence with the causes
      */
     public CrashEvidence attributedBy(CrashAttribution attribution) {
-        return new CrashEvidence(crashes, unshared, attribution.causes(crashes.values()));
+        return new CrashEvidence(crashes, unshared, attribution.causes(crashes.values()), served);
     }
 
     /**
@@ -166,7 +183,7 @@
      * @return the evidence
      */
     public CrashEvidence asShared() {
-        return new CrashEvidence(crashes, HashTreePSet.empty(), causes);
+        return new CrashEvidence(crashes, HashTreePSet.empty(), causes, served);
     }
 
     /**
@@ -175,6 +192,6 @@
      * @return the evidence
      */
     public CrashEvidence asUnshared() {
-        return new CrashEvidence(crashes, HashTreePSet.from(crashes.keySet()), causes);
+        return new CrashEvidence(crashes, HashTreePSet.from(crashes.keySet()), causes, served);
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/crash/RecurringPartAttribution.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/crash/RecurringPartAttribution.java
@@ -1,5 +1,6 @@
 package org.sassafrastrail.gate.crash;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
 import java.util.Comparator;
@@ -16,15 +17,22 @@
 import org.pcollections.PSet;
 
 /**
- * Attributes crashes to the parts that recur in them and to which no upstream has responded since. The part that recurs most
- * explains its crashes, and only those that are left count against others. Parts that stood beside it in all of these
- * crashes cannot be told from it, so a cause is all of them together.
+ * Attributes crashes to the parts that recur in them and to which no upstream has responded since. The part with the most
+ * crashes beyond those that it takes explains its crashes, and only those that are left count against others. Parts that
+ * stood beside it in all of these crashes cannot be told from it, so a cause is all of them together.
  *
- * <p>A crash counts against a part only if a request with it was dispatched after the crash counted before. Upstreams that
- * crash together, as with their failure domain, thus count once.
+ * <p>A crash counts against a part only if a request with it was dispatched some time after the crash counted before.
+ * Upstreams that crash together, as with their failure domain, thus count once, also for a request that was retried at the
+ * next of them. A part to which an upstream had responded shortly before takes more crashes.
  */
 public final class RecurringPartAttribution implements CrashAttribution {
 
+    /** The time in which it becomes known that upstreams crashed together. */
+    private static final Duration SEPARATION = Duration.ofMillis(100);
+
+    /** The factor on the number of crashes for a part that was served before. */
+    private static final int TRUST_FACTOR = 2;
+
     private final int minCrashes;
 
     /**
@@ -36,8 +44,24 @@
         this.minCrashes = minCrashes;
     }
 
-    /** A suspected part with the crashes in which it is one, and the number of those that count. */
-    private record Suspicion(String part, Set<Crash> crashes, int count) {}
+    /**
+     * A suspected part.
+     *
+     * @param part the part
+     * @param crashes the crashes in which it is suspected
+     * @param trusted whether it was served shortly before one of them
+     * @param excess the number of crashes that count beyond those that it takes
+     */
+    private record Suspicion(String part, Set<Crash> crashes, boolean trusted, int excess) {
+
+        /** Returns the parts that cannot be told from this one. */
+        Set<String> parts() {
+            return crashes.iterator().next().suspects().keySet().stream()
+                    .filter(other -> crashes.stream().allMatch(crash -> crash.isSuspect(other)))
+                    .filter(other -> trusted || crashes.stream().noneMatch(crash -> crash.isTrusted(other)))
+                    .collect(Collectors.toUnmodifiableSet());
+        }
+    }
 
     @Override
     public PSet<PSet<String>> causes(Collection<Crash> crashes) {
@@ -49,7 +73,7 @@
         Optional<Suspicion> strongest = strongest(unexplained);
         while (strongest.isPresent()) {
             Set<Crash> explained = strongest.get().crashes();
-            causes = causes.plus(HashTreePSet.from(partsOfAll(explained)));
+            causes = causes.plus(HashTreePSet.from(strongest.get().parts()));
             unexplained = unexplained.stream()
                     .filter(crash -> !explained.contains(crash))
                     .toList();
@@ -61,8 +85,8 @@
     private Optional<Suspicion> strongest(List<Crash> crashes) {
         return suspects(crashes).stream()
                 .map(part -> suspicion(part, crashes))
-                .filter(suspicion -> suspicion.count() >= minCrashes)
-                .max(Comparator.comparingInt(Suspicion::count).thenComparing(Suspicion::part));
+                .filter(suspicion -> suspicion.excess() >= 0)
+                .max(Comparator.comparingInt(Suspicion::excess).thenComparing(Suspicion::part));
     }
 
     private static Set<String> suspects(List<Crash> crashes) {
@@ -75,27 +99,23 @@
                 .collect(Collectors.toCollection(TreeSet::new));
     }
 
-    private static Suspicion suspicion(String part, List<Crash> crashes) {
+    private Suspicion suspicion(String part, List<Crash> crashes) {
         List<Crash> withPart =
                 crashes.stream().filter(crash -> crash.isSuspect(part)).toList();
-        return new Suspicion(part, new HashSet<>(withPart), count(part, withPart));
+        boolean trusted = withPart.stream().anyMatch(crash -> crash.isTrusted(part));
+        int needed = trusted ? TRUST_FACTOR * minCrashes : minCrashes;
+        return new Suspicion(part, new HashSet<>(withPart), trusted, count(part, withPart) - needed);
     }
 
     private static int count(String part, List<Crash> crashes) {
-        Instant lastCounted = Instant.MIN;
+        Instant countedFrom = Instant.MIN;
         int count = 0;
         for (Crash crash : crashes) {
-            if (crash.suspects().get(part).isAfter(lastCounted)) {
-                lastCounted = crash.observedAt();
+            if (crash.suspects().get(part).isAfter(countedFrom)) {
+                countedFrom = crash.observedAt().plus(SEPARATION);
                 count++;
             }
         }
         return count;
     }
-
-    private static Set<String> partsOfAll(Set<Crash> crashes) {
-        Set<String> common = new HashSet<>(crashes.iterator().next().suspects().keySet());
-        crashes.forEach(crash -> common.retainAll(crash.suspects().keySet()));
-        return common;
-    }
 }
--- a/gate-core/src/test/java/org/sassafrastrail/gate/CrashHandlerTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/CrashHandlerTest.java
@@ -173,6 +173,25 @@
                 .isPresent();
     }
 
+    @Test
+    void partThatWasServedBeforeIsTrustedByPeersToo() {
+        arrive(SOUND, ROUTE, "popular");
+        gateway.handle(new GatewayEvent.ResponseStarted(SOUND, 1, true, Optional.empty()));
+        arrive(FIRST_DEADLY, ROUTE, "popular");
+        crashUnder(FIRST_DEADLY);
+        arrive(SECOND_DEADLY, ROUTE, "popular");
+        crashUnder(SECOND_DEADLY);
+        assertThat(GatewayDriver.dispatchedTo(arrive(THIRD_DEADLY, ROUTE, "popular")))
+                .isPresent();
+        gateway.handle(new GatewayEvent.PeerConnected("peer"));
+        GatewayDriver peer = new GatewayDriver("peer");
+        peer.register(GatewayDriver.upstream("engine-6", GatewayDriver.MODEL));
+        peer.handle(new GatewayEvent.PeerCrashesReceived(
+                gateway.crashesSharedAfter(Duration.ofSeconds(1)).crashes()));
+        assertThat(GatewayDriver.dispatchedTo(peer.arrive(SOUND, ROUTE, prompt("popular"), "account")))
+                .isPresent();
+    }
+
     @Test
     void requestIsServedAgainWhenEvidenceIsOld() {
         crashTwice();
--- a/gate-core/src/test/java/org/sassafrastrail/gate/crash/RecurringPartAttributionTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/crash/RecurringPartAttributionTest.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
 import org.pcollections.HashTreePSet;
@@ -54,6 +55,39 @@
                 .isEmpty();
     }
 
+    /**
+     * Guards against LOST: a request that was retried at once at another engine of the same failure domain, which was down
+     * already, made its parts look like a cause, and all sound requests with them were refused.
+     */
+    @Test
+    void upstreamsWhoseCrashesAreSeenOneAfterTheOtherCountOnce() {
+        Crash second = Crash.observed(START.plusSeconds(1).plusMillis(25))
+                .withLost(Set.of("popular"), START.plusSeconds(1).plusMillis(5))
+                .asConfirmed();
+        assertThat(attribution.causes(List.of(crash(1, Set.of("popular")), second)))
+                .isEmpty();
+    }
+
+    @Test
+    void partThatWasServedBeforeIsSuspectedLater() {
+        List<Crash> crashes = List.of(
+                crash(1, Set.of("popular")).withTrusted(Set.of("popular")),
+                crash(3, Set.of("popular")),
+                crash(5, Set.of("popular")));
+        assertThat(attribution.causes(crashes)).isEmpty();
+        assertThat(attribution.causes(Stream.concat(crashes.stream(), Stream.of(crash(7, Set.of("popular"))))
+                        .toList()))
+                .containsExactly(parts("popular"));
+    }
+
+    @Test
+    void partThatWasServedBeforeDoesNotBelongToCauseOfAnother() {
+        assertThat(attribution.causes(List.of(
+                        crash(1, Set.of("deadly", "popular")).withTrusted(Set.of("popular")),
+                        crash(3, Set.of("deadly", "popular")))))
+                .containsExactly(parts("deadly"));
+    }
+
     @Test
     void lossAtUpstreamThatDidNotCrashIsNoEvidence() {
         Crash unconfirmed = Crash.observed(START.plusSeconds(3)).withLost(Set.of("a"), START.plusSeconds(2));
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CrashUpdateMapper.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CrashUpdateMapper.java
@@ -29,7 +29,9 @@
                 crash.confirmed(),
                 crash.suspects().entrySet().stream()
                         .map(suspect -> new SuspectPart(
-                                suspect.getKey(), suspect.getValue().toMillis()))
+                                suspect.getKey(),
+                                suspect.getValue().toMillis(),
+                                crash.trusted().contains(suspect.getKey())))
                         .toList(),
                 List.copyOf(crash.cleared()));
     }
@@ -48,6 +50,10 @@
                                 SuspectPart::part,
                                 suspect -> Duration.ofMillis(suspect.dispatchedMillisecondsAgo()),
                                 (first, repeated) -> first.compareTo(repeated) < 0 ? first : repeated)),
+                crash.suspects().stream()
+                        .filter(SuspectPart::trusted)
+                        .map(SuspectPart::part)
+                        .collect(Collectors.toUnmodifiableSet()),
                 Set.copyOf(crash.cleared()));
     }
 }
--- a/messages/src/main/java/org/sassafrastrail/messages/SuspectPart.java
+++ b/messages/src/main/java/org/sassafrastrail/messages/SuspectPart.java
@@ -5,5 +5,6 @@
  *
  * @param part the identifier of the part
  * @param dispatchedMillisecondsAgo the time since the latest of these requests was dispatched
+ * @param trusted whether an upstream had responded to the part shortly before
  */
-public record SuspectPart(String part, long dispatchedMillisecondsAgo) {}
+public record SuspectPart(String part, long dispatchedMillisecondsAgo, boolean trusted) {}
--- a/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
+++ b/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
@@ -79,7 +79,12 @@
                         List.of(new UpstreamLoad("i-1", 3, 4000), new UpstreamLoad("i-2", 1, 0)),
                         List.of(new AccountUsage("kitchen", 90_000, 70_000))),
                 new CrashUpdate(List.of(new UpstreamCrash(
-                        "i-1", 1_770_000_000_000L, 40, true, List.of(new SuspectPart("a1b2", 90)), List.of("c3d4")))),
+                        "i-1",
+                        1_770_000_000_000L,
+                        40,
+                        true,
+                        List.of(new SuspectPart("a1b2", 90, true)),
+                        List.of("c3d4")))),
                 new CopyRequest("servers", 17),
                 new TableCopy("servers", 18, List.of()),
                 new Demand(List.of(new AccountDemand(new AccountName("kitchen"), 3, 100, 20))),
