Attribute crashes once a tick, not with each event

With each loss, response and message of a peer the control thread went through all known crashes and their suspects: up to 128 times 512, while engines are down and every response clears something. Now events only note what is known, and the tick attributes if more is known than before, ahead of the dispatch of queued requests. A cause is known up to one tick later.

The tests of the fix stay green (CrashingPromptPartTest, CrashHandlerTest, UpstreamCrashTest, ReportCostTest); the processor time saved in a mass crash was not measured.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
@@ -11,13 +11,11 @@
 
     private final GatewayLimits limits;
     private final CallHandler calls;
-    private final CrashHandler crashes;
     private final Scheduler scheduler;
 
-    AttemptHandler(GatewayLimits limits, CallHandler calls, CrashHandler crashes, Scheduler scheduler) {
+    AttemptHandler(GatewayLimits limits, CallHandler calls, Scheduler scheduler) {
         this.limits = limits;
         this.calls = calls;
-        this.crashes = crashes;
         this.scheduler = scheduler;
     }
 
@@ -26,8 +24,8 @@
         Optional<Call> running = state.call(event.call())
                 .filter(call -> call.isRunning(event.attempt()))
                 .filter(call -> call.attempt().orElseThrow().prefilling());
-        return running.map(call -> responseStarted(state, call, event.load(), now)
-                        .and(next -> event.successful() ? crashes.served(next, call, now) : Transition.to(next)))
+        return running.map(call -> responseStarted(
+                        event.successful() ? CrashHandler.served(state, call, now) : state, call, event.load(), now))
                 .orElseGet(() -> Transition.to(state));
     }
 
@@ -62,7 +60,7 @@
                                 event.result(),
                                 now)
                         .and(next -> resolve(next, call, event.result(), now))
-                        .and(next -> crashes.attemptEnded(next, call, event.result(), now))
+                        .and(next -> Transition.to(CrashHandler.attemptEnded(next, call, event.result(), now)))
                         .and(next -> scheduler.dispatchQueued(next, call.target(), now)))
                 .orElseGet(() -> Transition.to(state));
     }
@@ -132,7 +130,7 @@
         boolean withinBudget = state.retryBudget(requeued.target())
                 .allowsRetry(now, limits.retryShare(), limits.retryExtra() / gateways);
         return safeToRetry
-                && !state.crashes().isCause(requeued.description().prompt().partIdentifiers())
+                && !state.crashesUpstreams(requeued.description())
                 && requeued.upstreamsReached() < route.maxUpstreams()
                 && now.isBefore(limits.drain().expiresAt(requeued.description(), state.stoppingSince()))
                 && withinBudget;
--- a/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
@@ -25,7 +25,7 @@
         if (!limits.drain().admits(description, state.stoppingSince(), now)) {
             return refuse(state, call, RefusalReason.ROUTER_STOPPING, now);
         }
-        if (state.crashes().isCause(description.prompt().partIdentifiers())) {
+        if (state.crashesUpstreams(description)) {
             return refuse(state, call, RefusalReason.UPSTREAM_CRASHES, now);
         }
         GatewayState recorded = state.with(
--- a/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
@@ -13,12 +13,10 @@
 final class ClusterStateHandler {
 
     private final GatewayLimits limits;
-    private final CrashHandler crashes;
     private final Scheduler scheduler;
 
-    ClusterStateHandler(GatewayLimits limits, CrashHandler crashes, Scheduler scheduler) {
+    ClusterStateHandler(GatewayLimits limits, Scheduler scheduler) {
         this.limits = limits;
-        this.crashes = crashes;
         this.scheduler = scheduler;
     }
 
@@ -46,7 +44,7 @@
                         (next, known) -> Transition.<GatewayState, GatewayAction>to(next.with(known.unregistered()))
                                 .then(statusReport(known.upstream(), UpstreamStatus.GONE)));
         return unregistered
-                .and(next -> crashes.unregistered(next, ended(state, event), now))
+                .and(next -> Transition.to(CrashHandler.unregistered(next, ended(state, event))))
                 .forEach(event.upstreams().values().stream(), (next, entry) -> register(next, entry, now))
                 .and(next -> scheduler.dispatchAll(next, now));
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/CrashHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CrashHandler.java
@@ -32,31 +32,27 @@
     }
 
     /** Records the end of an attempt: a loss before the response, or a refused connection, which confirms a crash. */
-    Transition<GatewayState, GatewayAction> attemptEnded(
-            GatewayState state, Call call, AttemptResult result, Instant now) {
+    static GatewayState attemptEnded(GatewayState state, Call call, AttemptResult result, Instant now) {
         Attempt attempt = call.attempt().orElseThrow();
         UpstreamIncarnation upstream = attempt.upstream().incarnation();
-        Set<String> parts = call.description().prompt().partIdentifiers();
-        boolean lost = result instanceof AttemptResult.Lost || result instanceof AttemptResult.Broken;
         if (result instanceof AttemptResult.NotConnected) {
-            return update(state, state.crashes().withEnded(upstream), now);
+            return state.with(state.crashes().withEnded(upstream));
         }
+        Set<String> parts = call.description().prompt().partIdentifiers();
+        boolean lost = result instanceof AttemptResult.Lost || result instanceof AttemptResult.Broken;
         return lost && attempt.prefilling() && !parts.isEmpty()
-                ? update(state, state.crashes().withLost(upstream, parts, attempt.dispatchedAt(), now), now)
-                : Transition.to(state);
+                ? state.with(state.crashes().withLost(upstream, parts, attempt.dispatchedAt(), now))
+                : state;
     }
 
     /** Records that an upstream started the response to a request. */
-    Transition<GatewayState, GatewayAction> served(GatewayState state, Call call, Instant now) {
-        Set<String> parts = call.description().prompt().partIdentifiers();
-        return update(state, state.crashes().withServed(parts, now), now);
+    static GatewayState served(GatewayState state, Call call, Instant now) {
+        return state.with(state.crashes().withServed(call.description().prompt().partIdentifiers(), now));
     }
 
     /** Records that upstreams are no longer registered, which confirms their crashes. */
-    Transition<GatewayState, GatewayAction> unregistered(
-            GatewayState state, Stream<UpstreamIncarnation> upstreams, Instant now) {
-        return update(
-                state, upstreams.reduce(state.crashes(), CrashEvidence::withEnded, (first, second) -> second), now);
+    static GatewayState unregistered(GatewayState state, Stream<UpstreamIncarnation> upstreams) {
+        return state.with(upstreams.reduce(state.crashes(), CrashEvidence::withEnded, (first, second) -> second));
     }
 
     Transition<GatewayState, GatewayAction> peerCrashesReceived(
@@ -64,7 +60,7 @@
         Map<UpstreamIncarnation, Crash> reported = event.crashes().stream()
                 .collect(Collectors.toMap(
                         CrashReport::upstream, report -> report.toCrash(now), (first, repeated) -> repeated));
-        return update(state, state.crashes().mergedWith(reported), now);
+        return Transition.to(state.with(state.crashes().mergedWith(reported)));
     }
 
     /** Tells the peers what they have not been told. */
@@ -79,24 +75,18 @@
                         .then(new GatewayAction.ShareCrashes(reports));
     }
 
-    /** Drops old evidence. */
-    Transition<GatewayState, GatewayAction> expire(GatewayState state, Instant now) {
-        return update(state, state.crashes().withoutExpired(limits.crashRetention(), now), now);
-    }
-
-    private Transition<GatewayState, GatewayAction> update(GatewayState state, CrashEvidence evidence, Instant now) {
-        if (evidence.crashes() == state.crashes().crashes()) {
-            return Transition.to(evidence == state.crashes() ? state : state.with(evidence));
-        }
-        CrashEvidence attributed = evidence.attributedBy(attribution);
+    /** Drops old evidence, attributes crashes to their causes, and ends the requests that would crash more upstreams. */
+    Transition<GatewayState, GatewayAction> attribute(GatewayState state, Instant now) {
+        CrashEvidence evidence =
+                state.crashes().withoutExpired(limits.crashRetention(), now).attributedBy(attribution);
         PSet<PSet<String>> before = state.crashes().causes();
-        Transition<GatewayState, GatewayAction> updated = Transition.to(state.with(attributed));
-        if (attributed.causes().equals(before)) {
-            return updated;
-        }
-        return updated.thenAll(reports(attributed.causes().minusAll(before), true))
-                .thenAll(reports(before.minusAll(attributed.causes()), false))
-                .and(next -> endCauses(next, now));
+        Transition<GatewayState, GatewayAction> attributed = Transition.to(state.with(evidence));
+        return evidence.causes().equals(before)
+                ? attributed
+                : attributed
+                        .thenAll(reports(evidence.causes().minusAll(before), true))
+                        .thenAll(reports(before.minusAll(evidence.causes()), false))
+                        .and(next -> endCauses(next, now));
     }
 
     private static List<GatewayAction> reports(PSet<PSet<String>> causes, boolean refused) {
@@ -110,8 +100,7 @@
         return Transition.<GatewayState, GatewayAction>to(state)
                 .forEach(
                         state.calls().values().stream()
-                                .filter(call -> state.crashes()
-                                        .isCause(call.description().prompt().partIdentifiers()))
+                                .filter(call -> state.crashesUpstreams(call.description()))
                                 .filter(call ->
                                         call.attempt().map(Attempt::prefilling).orElse(true)),
                         (next, call) -> end(next, call, now));
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
@@ -22,8 +22,8 @@
         CallHandler calls = new CallHandler(limits, scheduler);
         CrashHandler crashes =
                 new CrashHandler(limits, new RecurringPartAttribution(limits.minCrashesOfCause()), calls);
-        AttemptHandler attempts = new AttemptHandler(limits, calls, crashes, scheduler);
-        ClusterStateHandler clusterState = new ClusterStateHandler(limits, crashes, scheduler);
+        AttemptHandler attempts = new AttemptHandler(limits, calls, scheduler);
+        ClusterStateHandler clusterState = new ClusterStateHandler(limits, scheduler);
         VersionMoveHandler versionMoves = new VersionMoveHandler();
         TickHandler ticks = new TickHandler(limits, calls, crashes, scheduler);
         this.handlers = EventRouter.<GatewayState, GatewayEvent, GatewayAction>over(GatewayEvent.class)
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -240,18 +240,20 @@
     }
 
     GatewayState with(CrashEvidence next) {
-        return new GatewayState(
-                configuration,
-                upstreams,
-                calls,
-                queued,
-                domainsOut,
-                peers,
-                shares,
-                retryBudgets,
-                stoppingSince,
-                versionTrials,
-                next);
+        return next == crashes
+                ? this
+                : new GatewayState(
+                        configuration,
+                        upstreams,
+                        calls,
+                        queued,
+                        domainsOut,
+                        peers,
+                        shares,
+                        retryBudgets,
+                        stoppingSince,
+                        versionTrials,
+                        next);
     }
 
     GatewayState stopping(Instant now) {
@@ -269,6 +271,11 @@
                 crashes);
     }
 
+    /** Returns whether a request is like those under which upstreams crashed. */
+    boolean crashesUpstreams(CallDescription call) {
+        return !crashes.causes().isEmpty() && crashes.isCause(call.prompt().partIdentifiers());
+    }
+
     RetryBudget retryBudget(TargetName target) {
         return retryBudgets.getOrDefault(target, RetryBudget.EMPTY);
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
@@ -22,12 +22,12 @@
     }
 
     Transition<GatewayState, GatewayAction> ticked(GatewayState state, GatewayEvent.Ticked event, Instant now) {
-        return scheduler
-                .dispatchAll(state.with(state.shares().withUpdatedLevel(configuredCapacity(state), now)), now)
+        GatewayState updated = state.with(state.shares().withUpdatedLevel(configuredCapacity(state), now));
+        return crashes.attribute(updated, now)
+                .and(next -> scheduler.dispatchAll(next, now))
                 .and(next -> calls.expire(next, now))
                 .and(VersionMoveHandler::rejectWorseVersions)
                 .and(next -> endEjections(next, now))
-                .and(next -> crashes.expire(next, now))
                 .and(next -> reportToPeers(next, now))
                 .and(next -> checkDrained(next, now));
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/crash/CrashEvidence.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/crash/CrashEvidence.java
@@ -20,16 +20,18 @@
  * @param unshared the incarnations of which the gateway knows more than it has told its peers
  * @param causes the sets of parts of prompts under which upstreams crash
  * @param served the parts to which upstreams responded lately
+ * @param attributed whether the causes are those of the crashes as they are known now
  */
 public record CrashEvidence(
         PMap<UpstreamIncarnation, Crash> crashes,
         PSet<UpstreamIncarnation> unshared,
         PSet<PSet<String>> causes,
-        ServedParts served) {
+        ServedParts served,
+        boolean attributed) {
 
     /** The evidence of a gateway that knows of no crash. */
     public static final CrashEvidence NONE =
-            new CrashEvidence(HashTreePMap.empty(), HashTreePSet.empty(), HashTreePSet.empty(), ServedParts.NONE);
+            new CrashEvidence(HashTreePMap.empty(), HashTreePSet.empty(), HashTreePSet.empty(), ServedParts.NONE, true);
 
     private static final int MAX_CRASHES = 128;
 
@@ -71,7 +73,8 @@
      */
     public CrashEvidence withServed(Set<String> parts, Instant now) {
         ServedParts next = served.with(parts, now);
-        CrashEvidence remembered = next == served ? this : new CrashEvidence(crashes, unshared, causes, next);
+        CrashEvidence remembered =
+                next == served ? this : new CrashEvidence(crashes, unshared, causes, next, attributed);
         return crashes.entrySet().stream()
                 .filter(crash -> parts.stream().anyMatch(crash.getValue()::isSuspect))
                 .reduce(
@@ -102,7 +105,7 @@
     private CrashEvidence mergedWith(UpstreamIncarnation upstream, Crash reported) {
         Crash known = crashes.get(upstream);
         Crash merged = withTrusted(known == null ? reported : known.mergedWith(reported));
-        return new CrashEvidence(withinLimit(crashes.plus(upstream, merged)), unshared, causes, served);
+        return new CrashEvidence(withinLimit(crashes.plus(upstream, merged)), unshared, causes, served, false);
     }
 
     private Crash withTrusted(Crash crash) {
@@ -111,7 +114,8 @@
     }
 
     private CrashEvidence with(UpstreamIncarnation upstream, Crash crash) {
-        return new CrashEvidence(withinLimit(crashes.plus(upstream, crash)), unshared.plus(upstream), causes, served);
+        return new CrashEvidence(
+                withinLimit(crashes.plus(upstream, crash)), unshared.plus(upstream), causes, served, false);
     }
 
     /** Drops the oldest crash if there are too many. */
@@ -138,7 +142,7 @@
                 .collect(Collectors.toUnmodifiableSet());
         return expired.isEmpty()
                 ? this
-                : new CrashEvidence(crashes.minusAll(expired), unshared.minusAll(expired), causes, served);
+                : new CrashEvidence(crashes.minusAll(expired), unshared.minusAll(expired), causes, served, false);
     }
 
     private static Instant expiresAt(Crash crash, Duration retention) {
@@ -147,13 +151,15 @@
     }
 
     /**
-     * Attributes the crashes to their causes.
+     * Attributes the crashes to their causes, if more is known of them than when it was last done.
      *
      * @param attribution how
      * @return the evidence with the causes
      */
     public CrashEvidence attributedBy(CrashAttribution attribution) {
-        return new CrashEvidence(crashes, unshared, attribution.causes(crashes.values()), served);
+        return attributed
+                ? this
+                : new CrashEvidence(crashes, unshared, attribution.causes(crashes.values()), served, true);
     }
 
     /**
@@ -183,7 +189,7 @@
      * @return the evidence
      */
     public CrashEvidence asShared() {
-        return new CrashEvidence(crashes, HashTreePSet.empty(), causes, served);
+        return new CrashEvidence(crashes, HashTreePSet.empty(), causes, served, attributed);
     }
 
     /**
@@ -192,6 +198,6 @@
      * @return the evidence
      */
     public CrashEvidence asUnshared() {
-        return new CrashEvidence(crashes, HashTreePSet.from(crashes.keySet()), causes, served);
+        return new CrashEvidence(crashes, HashTreePSet.from(crashes.keySet()), causes, served, attributed);
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/crash/RecurringPartAttribution.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/crash/RecurringPartAttribution.java
@@ -4,7 +4,6 @@
 import java.time.Instant;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -52,11 +51,11 @@
      * @param trusted whether it was served shortly before one of them
      * @param excess the number of crashes that count beyond those that it takes
      */
-    private record Suspicion(String part, Set<Crash> crashes, boolean trusted, int excess) {
+    private record Suspicion(String part, List<Crash> crashes, boolean trusted, int excess) {
 
         /** Returns the parts that cannot be told from this one. */
         Set<String> parts() {
-            return crashes.iterator().next().suspects().keySet().stream()
+            return crashes.get(0).suspects().keySet().stream()
                     .filter(other -> crashes.stream().allMatch(crash -> crash.isSuspect(other)))
                     .filter(other -> trusted || crashes.stream().noneMatch(crash -> crash.isTrusted(other)))
                     .collect(Collectors.toUnmodifiableSet());
@@ -72,7 +71,7 @@
         PSet<PSet<String>> causes = HashTreePSet.empty();
         Optional<Suspicion> strongest = strongest(unexplained);
         while (strongest.isPresent()) {
-            Set<Crash> explained = strongest.get().crashes();
+            List<Crash> explained = strongest.get().crashes();
             causes = causes.plus(HashTreePSet.from(strongest.get().parts()));
             unexplained = unexplained.stream()
                     .filter(crash -> !explained.contains(crash))
@@ -104,7 +103,7 @@
                 crashes.stream().filter(crash -> crash.isSuspect(part)).toList();
         boolean trusted = withPart.stream().anyMatch(crash -> crash.isTrusted(part));
         int needed = trusted ? TRUST_FACTOR * minCrashes : minCrashes;
-        return new Suspicion(part, new HashSet<>(withPart), trusted, count(part, withPart) - needed);
+        return new Suspicion(part, withPart, trusted, count(part, withPart) - needed);
     }
 
     private static int count(String part, List<Crash> crashes) {
