Group the state of a gateway by what it is about

GatewayState had eleven fields and twelve methods that passed all of them on to change one, so each new field touched every method, and a newcomer could not see what changes. All tests of gate-core pass; no behaviour is meant to change.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -6,8 +6,6 @@
 import java.util.stream.Stream;
 
 import org.pcollections.HashTreePMap;
-import org.pcollections.HashTreePSet;
-import org.pcollections.OrderedPSet;
 import org.pcollections.PMap;
 import org.pcollections.PSet;
 import org.sassafrastrail.gate.crash.CrashEvidence;
@@ -17,30 +15,20 @@
 /**
  * The immutable state of a gateway.
  *
- * @param configuration the configuration in force, empty until the first one is received
- * @param upstreams the upstreams that are registered or still run requests
- * @param calls the requests without a final response, by number
- * @param queued the numbers of the requests that wait for an attempt, oldest first
- * @param domainsOut the failure domains that are out of service
- * @param peers the other gateways
- * @param shares the tokens recently requested by and served to each client account over the fleet
+ * @param cluster what it knows of the cluster from the store
+ * @param openCalls the requests without a final response
+ * @param fleet what it knows together with the other gateways
  * @param retryBudgets the retry budget of each target
- * @param stoppingSince when the graceful shutdown began, empty if the gateway is not stopping
  * @param versionTrials the moves to another version, by target
- * @param crashes what is known of crashes of upstreams
+ * @param stoppingSince when the graceful shutdown began, empty if the gateway is not stopping
  */
 public record GatewayState(
-        Optional<GatewayConfiguration> configuration,
-        PMap<UpstreamIdentifier, UpstreamState> upstreams,
-        PMap<Long, Call> calls,
-        PSet<Long> queued,
-        PSet<FailureDomainName> domainsOut,
-        Peers peers,
-        AccountShares shares,
+        ClusterView cluster,
+        OpenCalls openCalls,
+        FleetView fleet,
         PMap<TargetName, RetryBudget> retryBudgets,
-        Optional<Instant> stoppingSince,
         PMap<TargetName, VersionTrial> versionTrials,
-        CrashEvidence crashes) {
+        Optional<Instant> stoppingSince) {
 
     /**
      * Creates the initial state.
@@ -51,17 +39,59 @@
      */
     public static GatewayState start(String gateway, Duration quotaWindow) {
         return new GatewayState(
-                Optional.empty(),
-                HashTreePMap.empty(),
-                HashTreePMap.empty(),
-                OrderedPSet.empty(),
-                HashTreePSet.empty(),
-                Peers.none(gateway),
-                AccountShares.forQuotaWindow(quotaWindow),
+                ClusterView.EMPTY,
+                OpenCalls.NONE,
+                new FleetView(Peers.none(gateway), AccountShares.forQuotaWindow(quotaWindow), CrashEvidence.NONE),
                 HashTreePMap.empty(),
-                Optional.empty(),
                 HashTreePMap.empty(),
-                CrashEvidence.NONE);
+                Optional.empty());
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return the configuration, empty until the first one is received
+     */
+    public Optional<GatewayConfiguration> configuration() {
+        return cluster.configuration();
+    }
+
+    /**
+     * Returns the requests without a final response.
+     *
+     * @return the requests, by number
+     */
+    public PMap<Long, Call> calls() {
+        return openCalls.calls();
+    }
+
+    /**
+     * Returns the requests that wait for an attempt.
+     *
+     * @return their numbers, oldest first
+     */
+    public PSet<Long> queued() {
+        return openCalls.queued();
+    }
+
+    PMap<UpstreamIdentifier, UpstreamState> upstreams() {
+        return cluster.upstreams();
+    }
+
+    PSet<FailureDomainName> domainsOut() {
+        return cluster.domainsOut();
+    }
+
+    Peers peers() {
+        return fleet.peers();
+    }
+
+    AccountShares shares() {
+        return fleet.shares();
+    }
+
+    CrashEvidence crashes() {
+        return fleet.crashes();
     }
 
     /**
@@ -70,7 +100,7 @@
      * @return whether there is a configuration and the gateway is not stopping
      */
     public boolean ready() {
-        return configuration.isPresent() && stoppingSince.isEmpty();
+        return configuration().isPresent() && stoppingSince.isEmpty();
     }
 
     /**
@@ -79,7 +109,7 @@
      * @return the level in exponentially decaying tokens, infinite while all accounts are served what they request
      */
     public double fairShareLevel() {
-        return shares.level();
+        return shares().level();
     }
 
     /**
@@ -88,192 +118,83 @@
      * @return whether a request has no final response yet, or the gateway is stopping
      */
     public boolean isBusy() {
-        return !calls.isEmpty() || stoppingSince.isPresent();
+        return !calls().isEmpty() || stoppingSince.isPresent();
     }
 
     Optional<Call> call(long number) {
-        return Optional.ofNullable(calls.get(number));
+        return Optional.ofNullable(calls().get(number));
     }
 
     Stream<Call> queuedCalls() {
-        return queued.stream().map(calls::get);
+        return queued().stream().map(calls()::get);
     }
 
     /** Returns the state of the upstream incarnation that an attempt was sent to, empty if it is no longer known. */
     Optional<UpstreamState> upstreamOf(Attempt attempt) {
-        return Optional.ofNullable(upstreams.get(attempt.upstream().identifier()))
+        return Optional.ofNullable(upstreams().get(attempt.upstream().identifier()))
                 .filter(known -> known.upstream().isSameIncarnation(attempt.upstream()));
     }
 
-    GatewayState with(GatewayConfiguration next) {
-        return new GatewayState(
-                Optional.of(next),
-                upstreams,
-                calls,
-                queued,
-                domainsOut,
-                peers,
-                shares,
-                retryBudgets,
-                stoppingSince,
-                versionTrials,
-                crashes);
+    private GatewayState with(ClusterView next) {
+        return new GatewayState(next, openCalls, fleet, retryBudgets, versionTrials, stoppingSince);
     }
 
-    GatewayState withUpstreams(PMap<UpstreamIdentifier, UpstreamState> next) {
-        return new GatewayState(
-                configuration,
-                next,
-                calls,
-                queued,
-                domainsOut,
-                peers,
-                shares,
-                retryBudgets,
-                stoppingSince,
-                versionTrials,
-                crashes);
+    private GatewayState with(OpenCalls next) {
+        return new GatewayState(cluster, next, fleet, retryBudgets, versionTrials, stoppingSince);
     }
 
-    GatewayState with(UpstreamState next) {
-        UpstreamIdentifier identifier = next.upstream().identifier();
-        return withUpstreams(next.isUnused() ? upstreams.minus(identifier) : upstreams.plus(identifier, next));
+    private GatewayState with(FleetView next) {
+        return new GatewayState(cluster, openCalls, next, retryBudgets, versionTrials, stoppingSince);
     }
 
-    GatewayState with(Call next) {
-        PSet<Long> nextQueued = next.isQueued() ? queued.plus(next.number()) : queued.minus(next.number());
-        return withCalls(calls.plus(next.number(), next), nextQueued);
+    GatewayState with(GatewayConfiguration next) {
+        return with(cluster.with(next));
     }
 
-    GatewayState without(Call ended) {
-        return withCalls(calls.minus(ended.number()), queued.minus(ended.number()));
+    GatewayState with(UpstreamState next) {
+        return with(cluster.with(next));
     }
 
-    private GatewayState withCalls(PMap<Long, Call> nextCalls, PSet<Long> nextQueued) {
-        return new GatewayState(
-                configuration,
-                upstreams,
-                nextCalls,
-                nextQueued,
-                domainsOut,
-                peers,
-                shares,
-                retryBudgets,
-                stoppingSince,
-                versionTrials,
-                crashes);
+    GatewayState withDomainsOut(PSet<FailureDomainName> next) {
+        return with(cluster.withDomainsOut(next));
     }
 
-    GatewayState withDomainsOut(PSet<FailureDomainName> next) {
-        return new GatewayState(
-                configuration,
-                upstreams,
-                calls,
-                queued,
-                next,
-                peers,
-                shares,
-                retryBudgets,
-                stoppingSince,
-                versionTrials,
-                crashes);
+    GatewayState with(Call next) {
+        return with(openCalls.with(next));
+    }
+
+    GatewayState without(Call ended) {
+        return with(openCalls.without(ended));
     }
 
     GatewayState with(Peers next) {
-        return new GatewayState(
-                configuration,
-                upstreams,
-                calls,
-                queued,
-                domainsOut,
-                next,
-                shares,
-                retryBudgets,
-                stoppingSince,
-                versionTrials,
-                crashes);
+        return with(fleet.with(next));
     }
 
     GatewayState with(AccountShares next) {
-        return new GatewayState(
-                configuration,
-                upstreams,
-                calls,
-                queued,
-                domainsOut,
-                peers,
-                next,
-                retryBudgets,
-                stoppingSince,
-                versionTrials,
-                crashes);
+        return with(fleet.with(next));
     }
 
-    GatewayState with(TargetName target, RetryBudget next) {
-        return new GatewayState(
-                configuration,
-                upstreams,
-                calls,
-                queued,
-                domainsOut,
-                peers,
-                shares,
-                retryBudgets.plus(target, next),
-                stoppingSince,
-                versionTrials,
-                crashes);
+    GatewayState with(CrashEvidence next) {
+        return next == crashes() ? this : with(fleet.with(next));
     }
 
-    GatewayState withVersionTrials(PMap<TargetName, VersionTrial> next) {
+    GatewayState with(TargetName target, RetryBudget next) {
         return new GatewayState(
-                configuration,
-                upstreams,
-                calls,
-                queued,
-                domainsOut,
-                peers,
-                shares,
-                retryBudgets,
-                stoppingSince,
-                next,
-                crashes);
+                cluster, openCalls, fleet, retryBudgets.plus(target, next), versionTrials, stoppingSince);
     }
 
-    GatewayState with(CrashEvidence next) {
-        return next == crashes
-                ? this
-                : new GatewayState(
-                        configuration,
-                        upstreams,
-                        calls,
-                        queued,
-                        domainsOut,
-                        peers,
-                        shares,
-                        retryBudgets,
-                        stoppingSince,
-                        versionTrials,
-                        next);
+    GatewayState withVersionTrials(PMap<TargetName, VersionTrial> next) {
+        return new GatewayState(cluster, openCalls, fleet, retryBudgets, next, stoppingSince);
     }
 
     GatewayState stopping(Instant now) {
-        return new GatewayState(
-                configuration,
-                upstreams,
-                calls,
-                queued,
-                domainsOut,
-                peers,
-                shares,
-                retryBudgets,
-                Optional.of(now),
-                versionTrials,
-                crashes);
+        return new GatewayState(cluster, openCalls, fleet, retryBudgets, versionTrials, Optional.of(now));
     }
 
     /** Returns whether a request is like those under which upstreams crashed. */
     boolean crashesUpstreams(CallDescription call) {
-        return !crashes.causes().isEmpty() && crashes.isCause(call.prompt().partIdentifiers());
+        return !crashes().causes().isEmpty() && crashes().isCause(call.prompt().partIdentifiers());
     }
 
     RetryBudget retryBudget(TargetName target) {
