Clear a prompt part by a success only, and bound the ages that peers tell

A client error of an engine counted as a response to the parts of the request, though the engine had not begun to write on them; it clears nothing now. Names that a reader trips over: the splitter is not called like the events that the exchange posts.

CrashHandlerTest.failureOfUpstreamClearsNothing holds the first; it passes before too, since the core is told what is a success: the change is in what the gateway tells it.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/crash/Crash.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/crash/Crash.java
@@ -12,8 +12,8 @@
 import org.pcollections.PSet;
 
 /**
- * The loss of requests at an upstream that may have crashed. The fields only ever grow, so gateways can merge what they
- * know in any order.
+ * The loss of requests at an upstream that may have crashed. A part that was cleared never becomes a suspect of the same
+ * crash again, so gateways can merge what they know in any order.
  *
  * @param observedAt when the first loss became known here
  * @param confirmed whether the upstream refused connections afterwards or was removed from the registry, so that it crashed
@@ -65,10 +65,11 @@
 
     /** Adds what another gateway knows of the same crash. */
     Crash mergedWith(Crash other) {
-        Crash merged = new Crash(observedAt, confirmed || other.confirmed, suspects, trusted, cleared);
-        for (Map.Entry<String, Instant> suspect : other.suspects.entrySet()) {
-            merged = merged.withLost(Set.of(suspect.getKey()), suspect.getValue());
-        }
+        Crash merged = other.suspects.entrySet().stream()
+                .reduce(
+                        other.confirmed ? asConfirmed() : this,
+                        (crash, suspect) -> crash.withLost(Set.of(suspect.getKey()), suspect.getValue()),
+                        (first, second) -> second);
         return merged.withTrusted(other.trusted).withCleared(other.cleared);
     }
 
--- a/gate-core/src/test/java/org/sassafrastrail/gate/CrashHandlerTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/CrashHandlerTest.java
@@ -193,6 +193,17 @@
                 .isPresent();
     }
 
+    @Test
+    void failureOfUpstreamClearsNothing() {
+        arrive(FIRST_DEADLY, ROUTE, "deadly");
+        crashUnder(FIRST_DEADLY);
+        arrive(SOUND, ROUTE, "deadly");
+        gateway.handle(new GatewayEvent.ResponseStarted(SOUND, 1, false, Optional.empty()));
+        arrive(SECOND_DEADLY, ROUTE, "deadly");
+        crashUnder(SECOND_DEADLY);
+        assertThat(refusal(arrive(THIRD_DEADLY, ROUTE, "deadly"))).contains(RefusalReason.UPSTREAM_CRASHES);
+    }
+
     @Test
     void requestIsServedAgainWhenEvidenceIsOld() {
         crashTwice();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -207,13 +207,13 @@
         if (!response.hasStarted() && (failed || bufferable)) {
             buffered = Optional.of(new ByteArrayOutputStream());
         }
-        if (buffered.isPresent() || events().isEmpty()) {
+        if (buffered.isPresent() || eventSplitter().isEmpty()) {
             reportStart();
         }
     }
 
     /** Returns the splitter if the body is a stream of events. */
-    private Optional<EventStreamSplitter> events() {
+    private Optional<EventStreamSplitter> eventSplitter() {
         return splitter.filter(present -> responseHead.eventStream());
     }
 
@@ -231,7 +231,7 @@
                     description.prompt().cost());
         }
         events.accept(new GatewayEvent.ResponseStarted(
-                callNumber, attemptNumber, responseHead.kind() == ResponseKind.ANSWERED, responseHead.load()));
+                callNumber, attemptNumber, responseHead.isSuccessful(), responseHead.load()));
     }
 
     @Override
@@ -239,9 +239,10 @@
         if (buffered.isPresent()) {
             return buffer(part, buffered.get());
         }
-        ByteBuffer ready = events().map(eventSplitter -> ByteBuffer.wrap(eventSplitter.completeEvents(part)))
+        ByteBuffer ready = eventSplitter()
+                .map(present -> ByteBuffer.wrap(present.completeEvents(part)))
                 .orElse(part);
-        if (events().filter(EventStreamSplitter::isOverLimit).isPresent()) {
+        if (eventSplitter().filter(EventStreamSplitter::isOverLimit).isPresent()) {
             attempt.fail("event not terminated within the size limit");
             return false;
         }
@@ -293,7 +294,8 @@
             failed(new AttemptResult.Broken(), "the stream ends before an event ends");
         } else {
             response.end(
-                    responseHead, events().map(EventStreamSplitter::remainder).orElse(NO_BYTES));
+                    responseHead,
+                    eventSplitter().map(EventStreamSplitter::remainder).orElse(NO_BYTES));
             reportEnd(result, cause);
         }
     }
@@ -303,7 +305,8 @@
      * end of the connection shows the end of the body.
      */
     private boolean isCutOff() {
-        return events().filter(present -> present.isInsideEvent() || !startReported && !responseHead.framed())
+        return eventSplitter()
+                .filter(present -> present.isInsideEvent() || !startReported && !responseHead.framed())
                 .isPresent();
     }
 
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CrashUpdateMapper.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CrashUpdateMapper.java
@@ -14,6 +14,8 @@
 /** Converts what gateways tell each other of crashes between the form of the core and the message on the wire. */
 final class CrashUpdateMapper {
 
+    private static final long MAX_AGE_MILLISECONDS = Duration.ofDays(1).toMillis();
+
     private CrashUpdateMapper() {}
 
     static CrashUpdate toMessage(List<CrashReport> crashes) {
@@ -43,12 +45,12 @@
     private static CrashReport fromMessage(UpstreamCrash crash) {
         return new CrashReport(
                 new UpstreamIncarnation(crash.upstream(), crash.startedAtMillis()),
-                Duration.ofMillis(crash.ageMilliseconds()),
+                age(crash.ageMilliseconds()),
                 crash.confirmed(),
                 crash.suspects().stream()
                         .collect(Collectors.toUnmodifiableMap(
                                 SuspectPart::part,
-                                suspect -> Duration.ofMillis(suspect.dispatchedMillisecondsAgo()),
+                                suspect -> age(suspect.dispatchedMillisecondsAgo()),
                                 (first, repeated) -> first.compareTo(repeated) < 0 ? first : repeated)),
                 crash.suspects().stream()
                         .filter(SuspectPart::trusted)
@@ -56,4 +58,9 @@
                         .collect(Collectors.toUnmodifiableSet()),
                 Set.copyOf(crash.cleared()));
     }
+
+    /** Limits an age, so that times before now can be computed from it. */
+    private static Duration age(long milliseconds) {
+        return Duration.ofMillis(Math.max(0, Math.min(milliseconds, MAX_AGE_MILLISECONDS)));
+    }
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamResponseHead.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamResponseHead.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 
 import io.undertow.util.HeaderMap;
+import io.undertow.util.StatusCodes;
 import org.sassafrastrail.gate.ReportedLoad;
 
 /**
@@ -24,4 +25,10 @@
         OptionalLong length,
         boolean framed,
         boolean eventStream,
-        Optional<ReportedLoad> load) {}
+        Optional<ReportedLoad> load) {
+
+    /** Returns whether this is the response that was asked for, and not a failure or a client error. */
+    boolean isSuccessful() {
+        return kind == ResponseKind.ANSWERED && status < StatusCodes.BAD_REQUEST;
+    }
+}
