--- a/gate-core/src/main/java/org/sassafrastrail/gate/CrashHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CrashHandler.java
@@ -31,7 +31,7 @@
         this.calls = calls;
     }
 
-    /** Records the end of an attempt: a loss before the response, or a refused connection, which confirms a crash. */
+    /** Records the end of an attempt: a loss before the response, or a failed connection, which confirms a crash. */
     static GatewayState attemptEnded(GatewayState state, Call call, AttemptResult result, Instant now) {
         Attempt attempt = call.attempt().orElseThrow();
         UpstreamIncarnation upstream = attempt.upstream().incarnation();
--- a/gate-core/src/main/java/org/sassafrastrail/gate/crash/Crash.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/crash/Crash.java
@@ -16,7 +16,7 @@
  * crash again, so gateways can merge what they know in any order.
  *
  * @param observedAt when the first loss became known here
- * @param confirmed whether the upstream refused connections afterwards or was removed from the registry, so that it crashed
+ * @param confirmed whether the upstream could not be connected to afterwards or was removed from the registry, so that it crashed
  * @param suspects the parts of lost prompts, each with when the latest lost request with it was dispatched
  * @param trusted the suspects to which an upstream had responded shortly before
  * @param cleared the parts to which an upstream has responded since
--- a/gate-core/src/main/java/org/sassafrastrail/gate/crash/CrashEvidence.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/crash/CrashEvidence.java
@@ -35,7 +35,7 @@
 
     private static final int MAX_CRASHES = 128;
 
-    /** How long a loss waits for the confirmation of a crash, and reports on a crash without suspects are expected. */
+    /** How long a loss that is not confirmed, or a crash without suspects, is kept, because peers may still report on it. */
     private static final Duration SETTLING_TIME = Duration.ofSeconds(15);
 
     /**
@@ -56,7 +56,7 @@
     /**
      * Confirms that an upstream crashed, if requests were lost there.
      *
-     * @param upstream an upstream that refuses connections or is no longer registered
+     * @param upstream an upstream that cannot be connected to or is no longer registered
      * @return the evidence with it
      */
     public CrashEvidence withEnded(UpstreamIncarnation upstream) {
--- a/gate-core/src/test/java/org/sassafrastrail/gate/CrashHandlerTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/CrashHandlerTest.java
@@ -10,7 +10,6 @@
 import org.junit.jupiter.api.Test;
 import org.pcollections.TreePVector;
 import org.sassafrastrail.gate.crash.Crash;
-import org.sassafrastrail.gate.crash.CrashEvidence;
 import org.sassafrastrail.model.RefusalReason;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -100,35 +99,36 @@
         assertThat(gateway.state().call(THIRD_DEADLY)).isEmpty();
     }
 
+    /** Starts a request whose upstream responds with a failure, and then makes its parts the cause of two crashes. */
+    private void crashTwiceWhileAnswered(Route route) {
+        arrive(THIRD_DEADLY, route, "third", "deadly");
+        gateway.handle(new GatewayEvent.ResponseStarted(THIRD_DEADLY, 1, false, Optional.empty()));
+        crashTwice();
+        assertThat(refusal(arrive(SOUND, ROUTE, "fourth", "deadly"))).contains(RefusalReason.UPSTREAM_CRASHES);
+    }
+
     @Test
     void requestThatIsAnsweredIsNotCancelled() {
-        arrive(THIRD_DEADLY, ROUTE, "third", "turned-deadly");
-        gateway.handle(new GatewayEvent.ResponseStarted(THIRD_DEADLY, 1, true, Optional.empty()));
-        arrive(FIRST_DEADLY, ROUTE, "common", "turned-deadly");
-        crashUnder(FIRST_DEADLY);
-        arrive(SECOND_DEADLY, ROUTE, "other", "turned-deadly");
-        crashUnder(SECOND_DEADLY);
+        crashTwiceWhileAnswered(ROUTE);
         assertThat(gateway.state().call(THIRD_DEADLY)).isPresent();
     }
 
     /** Guards against BUDGET: a request whose route allows attempts at other upstreams crashed them as well. */
     @Test
     void requestUnderWhichUpstreamsCrashIsNotRetried() {
-        crashTwice();
-        gateway.change(state -> state.with(CrashEvidence.NONE));
-        arrive(THIRD_DEADLY, RETRIED_ROUTE, "third", "deadly");
-        gateway.endAttempt(THIRD_DEADLY, 1, new AttemptResult.Lost());
-        assertThat(gateway.state().call(THIRD_DEADLY)).isPresent();
-        crashAgain(SOUND);
-        crashAgain(SOUND + 1);
-        List<GatewayAction> actions = gateway.endAttempt(THIRD_DEADLY, 2, new AttemptResult.Lost());
+        crashTwiceWhileAnswered(RETRIED_ROUTE);
+        List<GatewayAction> actions = gateway.endAttempt(THIRD_DEADLY, 1, new AttemptResult.Lost());
         assertThat(GatewayDriver.dispatchedTo(actions)).isEmpty();
         assertThat(gateway.state().call(THIRD_DEADLY)).isEmpty();
     }
 
-    private void crashAgain(long number) {
-        arrive(number, ROUTE, "deadly");
-        crashUnder(number);
+    @Test
+    void requestThatWaitsForRetryIsEnded() {
+        arrive(THIRD_DEADLY, RETRIED_ROUTE, "third", "deadly");
+        gateway.endAttempt(THIRD_DEADLY, 1, new AttemptResult.Lost());
+        assertThat(gateway.state().call(THIRD_DEADLY)).isPresent();
+        crashTwice();
+        assertThat(gateway.state().call(THIRD_DEADLY)).isEmpty();
     }
 
     @Test
