--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -18,7 +18,6 @@
 import org.sassafrastrail.gate.GatewayEvent;
 import org.sassafrastrail.gate.Upstream;
 import org.sassafrastrail.http.Problem;
-import org.xnio.IoUtils;
 
 /**
  * The exchange with a caller: runs the attempts for its request one after another and forwards the response. All but the
@@ -368,9 +367,10 @@
         new Problem(status, type, "The request may have run; nobody can tell.", "").send(exchange);
     }
 
-    private void abort() {
+    /** Ends a response that has been started before it is complete. */
+    void abort() {
         outcome = ExchangeOutcome.BROKEN_OFF;
-        IoUtils.safeClose(exchange.getConnection());
+        response.abort();
     }
 
     /** The caller closed its connection, or writing to it failed. The running attempt is cancelled. */
@@ -384,7 +384,7 @@
                 attempt.cancel();
             }
             events.accept(new GatewayEvent.CallerDisconnected(callNumber));
-            IoUtils.safeClose(exchange.getConnection());
+            response.abort();
         }
     }
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -21,9 +21,9 @@
 import org.sassafrastrail.gate.GatewayEvent;
 import org.sassafrastrail.gate.GatewayState;
 import org.sassafrastrail.gate.Route;
+import org.sassafrastrail.http.ResponseFraming;
 import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.RefusalReason;
-import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
 
 /** Handles callers' requests: finds route and account, reads the body, and passes the request to the control thread. */
@@ -147,7 +147,7 @@
                                 SameThreadExecutor.INSTANCE, () -> bodyRead(read, number, description, body)),
                         (read, failure) -> {
                             if (read.isResponseStarted()) {
-                                IoUtils.safeClose(read.getConnection());
+                                ResponseFraming.abort(read);
                             } else {
                                 refuse(
                                         read,
@@ -209,6 +209,11 @@
         }
     }
 
+    /** Aborts the requests in flight, at the end of a shutdown. */
+    void abortUnfinished() {
+        calls.values().forEach(call -> call.runOnIoThread(call::abort));
+    }
+
     private CallerExchange removeCall(long number) {
         synchronized (calls) {
             CallerExchange removed = calls.remove(number);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerResponse.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerResponse.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.OptionalLong;
 
 import io.undertow.server.HttpServerExchange;
+import org.sassafrastrail.http.ResponseFraming;
 import org.xnio.channels.StreamSinkChannel;
 
 /**
@@ -50,12 +52,17 @@
         closed = true;
     }
 
+    /** Ends the response before it is complete, in a way that the caller notices. */
+    void abort() {
+        ResponseFraming.abort(exchange);
+    }
+
     /** Writes a part of the body, preceded by the head if necessary. Returns false if some of it could not be written yet. */
     boolean write(UpstreamResponseHead head, ByteBuffer part) {
         if (closed || !part.hasRemaining()) {
             return true;
         }
-        start(head);
+        start(head, OptionalLong.empty());
         try {
             while (part.hasRemaining()) {
                 if (sink.write(part) == 0) {
@@ -76,7 +83,7 @@
         if (closed) {
             return;
         }
-        start(head);
+        start(head, OptionalLong.of(last.length));
         if (write(head, ByteBuffer.wrap(last)) && !unwritten.hasRemaining()) {
             finish();
         } else {
@@ -98,11 +105,12 @@
         }
     }
 
-    private void start(UpstreamResponseHead head) {
+    private void start(UpstreamResponseHead head, OptionalLong length) {
         if (sink == null) {
             exchange.setStatusCode(head.status());
             exchange.getResponseHeaders().clear();
             head.headers().forEach(header -> exchange.getResponseHeaders().addAll(header.getHeaderName(), header));
+            ResponseFraming.frame(exchange, length);
             sink = exchange.getResponseChannel();
         }
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -38,6 +38,8 @@
 
     private static final Duration WRITE_TIME_OF_LAST_RESPONSES = Duration.ofMillis(200);
 
+    private static final Duration ABORT_TIME = Duration.ofMillis(100);
+
     private static final int BUFFER_BYTES = 16 * 1024;
 
     private final GatewaySettings settings;
@@ -192,6 +194,8 @@
         }
         callerListener.stopAccepting();
         callers.awaitFinished(WRITE_TIME_OF_LAST_RESPONSES);
+        callers.abortUnfinished();
+        callers.awaitFinished(ABORT_TIME);
         stopWatching.run();
         callerListener.stop();
         readinessListener.stop();
--- /dev/null
+++ b/http/src/main/java/org/sassafrastrail/http/ResponseFraming.java
@@ -0,0 +1,71 @@
+package org.sassafrastrail.http;
+
+import java.io.IOException;
+import java.util.OptionalLong;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import io.undertow.util.StatusCodes;
+import org.xnio.IoUtils;
+import org.xnio.Options;
+
+/** Marks the end of a response body, so that no client mistakes a truncated response for a complete one. */
+public final class ResponseFraming {
+
+    private ResponseFraming() {}
+
+    /**
+     * Gives the body of a response a length or chunks, whatever happens to its connection afterwards. Undertow by itself
+     * sends no chunks on a connection that closes after the response. A body of unknown length to an HTTP/1.0 client can
+     * have neither. To be called before the head is sent.
+     *
+     * @param exchange the exchange, with its status and headers
+     * @param length the length of the body in bytes, empty if it is not known yet
+     */
+    public static void frame(HttpServerExchange exchange, OptionalLong length) {
+        HeaderMap headers = exchange.getResponseHeaders();
+        if (isFramed(headers) || !mayHaveBody(exchange)) {
+            return;
+        }
+        if (length.isPresent()) {
+            headers.put(Headers.CONTENT_LENGTH, length.getAsLong());
+        } else if (exchange.isHttp11()) {
+            headers.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+        }
+    }
+
+    /**
+     * Closes the connection of a response that is not complete. Where only the end of the connection would mark the end of
+     * the body, the connection is reset.
+     *
+     * @param exchange the exchange
+     */
+    public static void abort(HttpServerExchange exchange) {
+        if (!isFramed(exchange.getResponseHeaders())) {
+            resetOnClose(exchange);
+        }
+        IoUtils.safeClose(exchange.getConnection());
+    }
+
+    private static void resetOnClose(HttpServerExchange exchange) {
+        try {
+            exchange.getConnection().setOption(Options.CLOSE_ABORT, true);
+        } catch (IOException alreadyClosed) {
+            // Nothing is sent on a closed connection.
+        }
+    }
+
+    private static boolean isFramed(HeaderMap headers) {
+        return headers.contains(Headers.CONTENT_LENGTH) || headers.contains(Headers.TRANSFER_ENCODING);
+    }
+
+    private static boolean mayHaveBody(HttpServerExchange exchange) {
+        int status = exchange.getStatusCode();
+        return !exchange.getRequestMethod().equals(Methods.HEAD)
+                && status >= StatusCodes.OK
+                && status != StatusCodes.NO_CONTENT
+                && status != StatusCodes.NOT_MODIFIED;
+    }
+}
--- a/router/src/main/java/org/sassafrastrail/router/Dispatcher.java
+++ b/router/src/main/java/org/sassafrastrail/router/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
@@ -18,6 +19,7 @@
 import org.sassafrastrail.http.HttpRequest;
 import org.sassafrastrail.http.HttpResponse;
 import org.sassafrastrail.http.HttpResult;
+import org.sassafrastrail.http.ResponseFraming;
 import org.sassafrastrail.messages.DispatchHeaders;
 import org.sassafrastrail.model.AttemptIdentifier;
 import org.sassafrastrail.model.AttemptOutcome;
@@ -27,7 +29,6 @@
 import org.sassafrastrail.router.core.RouterEvent;
 import org.sassafrastrail.runtime.Metrics;
 import org.sassafrastrail.runtime.TrafficThreadPool;
-import org.xnio.IoUtils;
 
 /** Sends attempts to sidecars on traffic threads, and streams the responses to the callers. */
 final class Dispatcher {
@@ -163,14 +164,14 @@
         exchange.setStatusCode(response.status());
         response.header("Content-Type")
                 .ifPresent(type -> exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, type));
+        ResponseFraming.frame(exchange, OptionalLong.empty());
         try {
             exchange.startBlocking();
             copy(response.body(), exchange.getOutputStream());
             exchange.endExchange();
             return new AttemptOutcome.Completed(response.status(), 0, firstByte);
         } catch (IOException aborted) {
-            // Without the terminating chunk the caller detects a truncated response.
-            IoUtils.safeClose(exchange.getConnection());
+            ResponseFraming.abort(exchange);
             metrics.count("answers-cut-off", 1);
             return new AttemptOutcome.Truncated(0);
         } finally {
--- a/sidecar/src/main/java/org/sassafrastrail/sidecar/UpstreamForwarder.java
+++ b/sidecar/src/main/java/org/sassafrastrail/sidecar/UpstreamForwarder.java
@@ -4,6 +4,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -15,6 +16,7 @@
 import org.sassafrastrail.http.HttpRequest;
 import org.sassafrastrail.http.HttpResponse;
 import org.sassafrastrail.http.HttpResult;
+import org.sassafrastrail.http.ResponseFraming;
 import org.sassafrastrail.messages.DispatchHeaders;
 import org.sassafrastrail.model.GrantIdentifier;
 import org.sassafrastrail.model.NotRunReason;
@@ -22,7 +24,6 @@
 import org.sassafrastrail.model.UnknownReason;
 import org.sassafrastrail.sidecar.core.SidecarEvent;
 import org.sassafrastrail.sidecar.core.UpstreamOutcome;
-import org.xnio.IoUtils;
 
 /** Forwards requests to the upstream and streams the responses back to the routers. */
 final class UpstreamForwarder {
@@ -100,6 +101,7 @@
         exchange.setStatusCode(response.status());
         response.header("Content-Type")
                 .ifPresent(type -> exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, type));
+        ResponseFraming.frame(exchange, OptionalLong.empty());
         TokenCounter tokens = new TokenCounter(dispatch.grant(), control);
         Duration firstByte = Duration.ZERO;
         try (response) {
@@ -110,10 +112,10 @@
             attemptEnded(dispatch.grant(), new UpstreamOutcome.Completed(response.status(), cost(tokens), firstByte));
         } catch (RouterDisconnected disconnected) {
             attemptEnded(dispatch.grant(), new UpstreamOutcome.Cancelled(cost(tokens)));
-            IoUtils.safeClose(exchange.getConnection());
+            ResponseFraming.abort(exchange);
         } catch (IOException truncated) {
             attemptEnded(dispatch.grant(), new UpstreamOutcome.ConnectionLost(cost(tokens)));
-            IoUtils.safeClose(exchange.getConnection());
+            ResponseFraming.abort(exchange);
         }
     }
 
