Split the exchange with a caller by what it does with a response

It keeps the attempts and the end; bodies are forwarded by four small implementations of ResponseBody (buffered, streamed, events, stored failure), ResponseMemory holds their share of the budget, UpstreamRequestBuilder builds requests. Behaviour is meant to be unchanged, but that the memory of a body that grew too large to buffer is released when it is streamed, and not with its next part.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -1,6 +1,5 @@
 package org.sassafrastrail.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.time.Clock;
 import java.time.Duration;
@@ -10,7 +9,6 @@
 
 import io.undertow.client.ClientRequest;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
 import org.sassafrastrail.gate.AttemptResult;
 import org.sassafrastrail.gate.CallDescription;
@@ -25,25 +23,16 @@
  */
 final class CallerExchange implements AttemptListener {
 
-    /** Responses up to this size are buffered, so that a truncated one can still be replaced by that of another attempt. */
-    private static final int MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024;
-
-    /** Failure responses over this size are not stored. */
-    private static final int MAX_STORED_FAILURE_BYTES = 1024 * 1024;
-
-    private static final String RESPONSE_MEMORY_FULL = "no memory left for buffered responses";
-
-    private static final byte[] NO_BYTES = {};
-
     private final HttpServerExchange exchange;
     private final long callNumber;
     private final CallDescription description;
     private final byte[] body;
     private final CallerProtocol protocol;
+    private final UpstreamRequestBuilder requests;
     private final UpstreamConnectionPool connectionPool;
     private final Consumer<GatewayEvent> events;
     private final CallRecorder recorder;
-    private final BufferBudget responseBuffers;
+    private final ResponseMemory memory;
     private final Clock clock;
     private final Optional<EventStreamSplitter> splitter;
     private final CallerResponse response;
@@ -53,14 +42,12 @@
     private Instant expiresAt = Instant.MAX;
     private Upstream upstream;
     private UpstreamResponseHead responseHead;
+    private ResponseBody responseBody;
     private boolean startReported;
-    private Optional<ByteArrayOutputStream> buffered = Optional.empty();
-    private Optional<BufferedResponse> storedFailure = Optional.empty();
+    private Optional<FailureBody.StoredFailure> storedFailure = Optional.empty();
     private ExchangeOutcome outcome = ExchangeOutcome.ANSWERED;
     private Runnable disconnectCheck = () -> {};
     private Optional<Duration> timeToFirstByte = Optional.empty();
-    private long reservedBytes;
-    private boolean finished;
 
     CallerExchange(
             HttpServerExchange exchange,
@@ -75,18 +62,16 @@
         this.description = request.description();
         this.body = request.body();
         this.protocol = protocol;
+        this.requests = new UpstreamRequestBuilder(exchange, request, protocol);
         this.connectionPool = upstreams.connectionPool();
         this.events = events;
         this.recorder = recorder;
-        this.responseBuffers = upstreams.responseBuffers();
+        this.memory = new ResponseMemory(upstreams.responseBuffers());
         this.clock = clock;
         this.splitter = description.route().streaming() ? Optional.of(new EventStreamSplitter()) : Optional.empty();
         this.response = new CallerResponse(exchange, () -> attempt.resume(), this::callerDisconnected);
     }
 
-    /** A complete response of an upstream. */
-    private record BufferedResponse(UpstreamResponseHead head, byte[] body) {}
-
     /** Sets the check for a disconnected caller, which is run before each request to an upstream. */
     void setDisconnectCheck(Runnable check) {
         disconnectCheck = check;
@@ -121,25 +106,7 @@
     /** Ends the exchange: nothing more is written to the caller, and its buffers are released. */
     void finish() {
         response.close();
-        finished = true;
-        reserve(0);
-    }
-
-    /** Reserves memory for the given number of buffered bytes in place of that reserved before. */
-    private boolean reserve(long bytes) {
-        long wanted = finished ? 0 : bytes;
-        if (wanted > reservedBytes && !responseBuffers.reserve(wanted - reservedBytes)) {
-            return false;
-        }
-        if (wanted < reservedBytes) {
-            responseBuffers.release(reservedBytes - wanted);
-        }
-        reservedBytes = wanted;
-        return true;
-    }
-
-    private int storedFailureBytes() {
-        return storedFailure.map(stored -> stored.body().length).orElse(0);
+        memory.close();
     }
 
     void dispatch(GatewayAction.Dispatch dispatch) {
@@ -152,7 +119,6 @@
         responseHead = null;
         startReported = false;
         splitter.ifPresent(EventStreamSplitter::discardPartial);
-        buffered = Optional.empty();
         attempt = new UpstreamAttempt(
                 upstream, description.request(), this::upstreamRequest, body, protocol, connectionPool, this);
         attempt.start();
@@ -170,19 +136,7 @@
         }
         Optional<String> lastEventId =
                 response.hasStarted() ? splitter.flatMap(EventStreamSplitter::lastIdentifier) : Optional.empty();
-        ClientRequest request =
-                new ClientRequest().setMethod(exchange.getRequestMethod()).setPath(requestTarget());
-        protocol.upstreamRequestHeaders(exchange.getRequestHeaders(), description, upstream, timeLeft, lastEventId)
-                .forEach(header -> request.getRequestHeaders().addAll(header.getHeaderName(), header));
-        if (body.length > 0) {
-            request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
-        }
-        return Optional.of(request);
-    }
-
-    private String requestTarget() {
-        String query = exchange.getQueryString();
-        return query.isEmpty() ? exchange.getRequestURI() : exchange.getRequestURI() + "?" + query;
+        return Optional.of(requests.build(upstream, timeLeft, lastEventId));
     }
 
     void cancelAttempt(int cancelled) {
@@ -199,21 +153,27 @@
     @Override
     public void responseStarted(UpstreamResponseHead started) {
         responseHead = started;
-        boolean small = started.length().isPresent() && started.length().getAsLong() <= MAX_BUFFERED_RESPONSE_BYTES;
-        boolean failed = started.kind() == ResponseKind.FAILED;
-        boolean bufferable =
-                !description.route().streaming() && (small || started.length().isEmpty());
-        if (!response.hasStarted() && (failed || bufferable)) {
-            buffered = Optional.of(new ByteArrayOutputStream());
-        }
-        if (buffered.isPresent() || eventSplitter().isEmpty()) {
+        if (started.eventStream() && splitter.isPresent() && !isStorable(started)) {
+            responseBody = new EventStreamBody(started, response, splitter.get(), memory, this::reportStart);
+        } else {
+            responseBody = wholeBody(started);
             reportStart();
         }
     }
 
-    /** Returns the splitter if the body is a stream of events. */
-    private Optional<EventStreamSplitter> eventSplitter() {
-        return splitter.filter(present -> responseHead.eventStream());
+    /** Returns whether a failure can be stored, because the caller has received nothing yet. */
+    private boolean isStorable(UpstreamResponseHead head) {
+        return head.kind() == ResponseKind.FAILED && !response.hasStarted();
+    }
+
+    private ResponseBody wholeBody(UpstreamResponseHead head) {
+        if (isStorable(head)) {
+            return new FailureBody(head, memory, failure -> storedFailure = Optional.of(failure));
+        }
+        boolean bufferable = !description.route().streaming()
+                && head.length().orElse(0) <= BufferedBody.MAX_BYTES
+                && !response.hasStarted();
+        return bufferable ? new BufferedBody(head, response, memory) : new StreamedBody(head, response);
     }
 
     /** Reports that the upstream has started to respond. An upstream may send the head of a stream and then fail. */
@@ -235,46 +195,12 @@
 
     @Override
     public boolean bodyReceived(ByteBuffer part) {
-        if (buffered.isPresent()) {
-            return buffer(part, buffered.get());
-        }
-        ByteBuffer ready = eventSplitter()
-                .map(present -> ByteBuffer.wrap(present.completeEvents(part)))
-                .orElse(part);
-        if (eventSplitter().filter(EventStreamSplitter::isOverLimit).isPresent()) {
-            attempt.fail("event not terminated within the size limit");
+        try {
+            return responseBody.receive(part);
+        } catch (ResponseLimitException exceeded) {
+            attempt.fail(exceeded.getMessage());
             return false;
         }
-        if (!reserve(storedFailureBytes()
-                + splitter.map(EventStreamSplitter::partialBytes).orElse(0))) {
-            attempt.fail(RESPONSE_MEMORY_FULL);
-            return false;
-        }
-        if (ready.hasRemaining()) {
-            reportStart();
-        }
-        return response.write(responseHead, ready);
-    }
-
-    /** Buffers a part of the body. A response that is too large to buffer is streamed to the caller from then on. */
-    private boolean buffer(ByteBuffer part, ByteArrayOutputStream soFar) {
-        byte[] bytes = new byte[part.remaining()];
-        part.get(bytes);
-        soFar.writeBytes(bytes);
-        if (!reserve(storedFailureBytes() + soFar.size())) {
-            attempt.fail(RESPONSE_MEMORY_FULL);
-            return false;
-        }
-        boolean failed = responseHead.kind() == ResponseKind.FAILED;
-        if (soFar.size() <= (failed ? MAX_STORED_FAILURE_BYTES : MAX_BUFFERED_RESPONSE_BYTES)) {
-            return true;
-        }
-        if (failed) {
-            attempt.fail("failure over " + MAX_STORED_FAILURE_BYTES + " bytes");
-            return false;
-        }
-        buffered = Optional.empty();
-        return response.write(responseHead, ByteBuffer.wrap(soFar.toByteArray()));
     }
 
     @Override
@@ -284,44 +210,10 @@
 
     @Override
     public void attemptEnded(AttemptResult result, String cause) {
-        if (!(result instanceof AttemptResult.Delivered)) {
-            failed(result, cause);
-        } else if (buffered.isPresent()) {
-            bufferedResponseReceived(
-                    new BufferedResponse(responseHead, buffered.get().toByteArray()));
-        } else if (isCutOff()) {
-            failed(new AttemptResult.Broken(), "the stream ends before an event ends");
-        } else {
-            response.end(
-                    responseHead,
-                    eventSplitter().map(EventStreamSplitter::remainder).orElse(NO_BYTES));
-            reportEnd(result, cause);
-        }
-    }
-
-    /**
-     * Returns whether a stream of events has ended without its end: inside an event, or before the first one if only the
-     * end of the connection shows the end of the body.
-     */
-    private boolean isCutOff() {
-        return eventSplitter()
-                .filter(present -> present.isInsideEvent() || !startReported && !responseHead.framed())
-                .isPresent();
-    }
-
-    private void failed(AttemptResult result, String cause) {
-        boolean unseen = result instanceof AttemptResult.Broken && !response.hasStarted();
-        reportEnd(unseen ? new AttemptResult.Lost() : result, cause);
-    }
-
-    private void bufferedResponseReceived(BufferedResponse bufferedResponse) {
-        if (responseHead.kind() == ResponseKind.FAILED) {
-            storedFailure = Optional.of(bufferedResponse);
-            reportEnd(new AttemptResult.Failed(), "status " + responseHead.status());
-        } else {
-            deliver(bufferedResponse);
-            reportEnd(new AttemptResult.Delivered(), "");
-        }
+        ResponseBody.End end =
+                result instanceof AttemptResult.Delivered ? responseBody.end() : new ResponseBody.End(result, cause);
+        boolean unseen = end.result() instanceof AttemptResult.Broken && !response.hasStarted();
+        reportEnd(unseen ? new AttemptResult.Lost() : end.result(), end.cause());
     }
 
     private void reportEnd(AttemptResult result, String cause) {
@@ -338,8 +230,8 @@
         }
     }
 
-    private void deliver(BufferedResponse bufferedResponse) {
-        response.end(bufferedResponse.head(), bufferedResponse.body());
+    private void deliver(FailureBody.StoredFailure failure) {
+        response.end(failure.head(), failure.body());
     }
 
     void refuse(Problem problem, Duration retryAfter) {
--- /dev/null
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/ResponseBody.java
@@ -0,0 +1,36 @@
+package org.sassafrastrail.gateway;
+
+import java.nio.ByteBuffer;
+
+import org.sassafrastrail.gate.AttemptResult;
+
+/** The way in which the body of one upstream response gets to the caller. */
+interface ResponseBody {
+
+    /**
+     * Takes a part of the body.
+     *
+     * @param part the next bytes
+     * @return false if the caller can take no more for now
+     * @throws ResponseLimitException if the response exceeds a limit
+     */
+    boolean receive(ByteBuffer part) throws ResponseLimitException;
+
+    /**
+     * Ends the body after its last byte was received, and with it the response to the caller if the body is usable.
+     *
+     * @return what the attempt comes to
+     */
+    End end();
+
+    /**
+     * What an attempt comes to at the end of its response.
+     *
+     * @param result the result of the attempt
+     * @param cause why the response is not usable, empty if it is
+     */
+    record End(AttemptResult result, String cause) {
+
+        static final End DELIVERED = new End(new AttemptResult.Delivered(), "");
+    }
+}
