--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -16,6 +16,7 @@
 import org.sassafrastrail.gate.GatewayEvent;
 import org.sassafrastrail.gate.Upstream;
 import org.sassafrastrail.http.Problem;
+import org.sassafrastrail.http.ResponseFraming;
 
 /**
  * The exchange with a caller: runs the attempts for its request one after another and forwards the response. All but the
@@ -98,6 +99,15 @@
         return exchange.getStatusCode();
     }
 
+    ResponseFraming.BodyEnd bodyEnd() {
+        return ResponseFraming.bodyEnd(exchange.getResponseHeaders());
+    }
+
+    /** Returns whether the connection closes after the response. */
+    boolean isClosing() {
+        return !exchange.isPersistent();
+    }
+
     /** Runs a task on the I/O thread of the caller's connection. */
     void runOnIoThread(Runnable work) {
         exchange.getIoThread().execute(work);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -229,7 +229,13 @@
             requestBuffers.release(call.bodyBytes());
             Duration duration = Duration.between(call.description().arrivedAt(), clock.instant());
             recorder.finished(new FinishedCall(
-                    call.description(), call.status(), call.outcome(), call.timeToFirstByte(), duration));
+                    call.description(),
+                    call.status(),
+                    call.outcome(),
+                    call.bodyEnd(),
+                    call.isClosing(),
+                    call.timeToFirstByte(),
+                    duration));
         }
     }
 
--- a/gateway/src/main/java/org/sassafrastrail/gateway/FinishedCall.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/FinishedCall.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.sassafrastrail.gate.CallDescription;
+import org.sassafrastrail.http.ResponseFraming;
 
 /**
  * A request whose exchange with the caller has ended.
@@ -11,6 +12,8 @@
  * @param description the request
  * @param status the status code that the caller received
  * @param outcome the outcome of the exchange
+ * @param bodyEnd what marks the end of the response body
+ * @param closing whether the connection closes after the response
  * @param timeToFirstByte the time from arrival until an upstream began to respond, empty if none did
  * @param duration the time from arrival to the end of the exchange
  */
@@ -18,5 +21,7 @@
         CallDescription description,
         int status,
         ExchangeOutcome outcome,
+        ResponseFraming.BodyEnd bodyEnd,
+        boolean closing,
         Optional<Duration> timeToFirstByte,
         Duration duration) {}
--- a/gateway/src/main/java/org/sassafrastrail/gateway/LoggingCallRecorder.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/LoggingCallRecorder.java
@@ -95,6 +95,8 @@
                 LogField.of("cost", call.description().prompt().cost()),
                 LogField.of("status", call.status()),
                 LogField.of("ending", call.outcome()),
+                LogField.of("body-end", call.bodyEnd()),
+                LogField.of("closing", call.closing()),
                 LogField.of(
                         "first-ms",
                         call.timeToFirstByte()
--- a/http/src/main/java/org/sassafrastrail/http/ResponseFraming.java
+++ b/http/src/main/java/org/sassafrastrail/http/ResponseFraming.java
@@ -16,6 +16,29 @@
 
     private ResponseFraming() {}
 
+    /** What marks the end of a response body. */
+    public enum BodyEnd {
+        /** Its length, which the head states. */
+        LENGTH,
+        /** The last chunk. */
+        LAST_CHUNK,
+        /** The end of the connection. */
+        CONNECTION_END
+    }
+
+    /**
+     * Returns what marks the end of a response body.
+     *
+     * @param headers the headers of the response
+     * @return the mark
+     */
+    public static BodyEnd bodyEnd(HeaderMap headers) {
+        if (headers.contains(Headers.TRANSFER_ENCODING)) {
+            return BodyEnd.LAST_CHUNK;
+        }
+        return headers.contains(Headers.CONTENT_LENGTH) ? BodyEnd.LENGTH : BodyEnd.CONNECTION_END;
+    }
+
     /**
      * Gives the body of a response a length or chunks, whatever happens to its connection afterwards. Undertow by itself
      * sends no chunks on a connection that closes after the response. A body of unknown length to an HTTP/1.0 client can
@@ -26,7 +49,7 @@
      */
     public static void frame(HttpServerExchange exchange, OptionalLong length) {
         HeaderMap headers = exchange.getResponseHeaders();
-        if (isFramed(headers) || !mayHaveBody(exchange)) {
+        if (bodyEnd(headers) != BodyEnd.CONNECTION_END || !mayHaveBody(exchange)) {
             return;
         }
         if (length.isPresent()) {
@@ -43,7 +66,7 @@
      * @param exchange the exchange
      */
     public static void abort(HttpServerExchange exchange) {
-        if (!isFramed(exchange.getResponseHeaders())) {
+        if (bodyEnd(exchange.getResponseHeaders()) == BodyEnd.CONNECTION_END) {
             resetOnClose(exchange);
         }
         IoUtils.safeClose(exchange.getConnection());
@@ -57,10 +80,6 @@
         }
     }
 
-    private static boolean isFramed(HeaderMap headers) {
-        return headers.contains(Headers.CONTENT_LENGTH) || headers.contains(Headers.TRANSFER_ENCODING);
-    }
-
     private static boolean mayHaveBody(HttpServerExchange exchange) {
         int status = exchange.getStatusCode();
         return !exchange.getRequestMethod().equals(Methods.HEAD)
