Give an upstream nothing more once it has said in a response that it is leaving (DRAIN)

The header was not read, and reached callers. Now the head of each response is read for it before anything else; the I/O thread holds back what had been dispatched, the control thread places nothing there, and peers are told over the links. The notice ends with the process of the upstream, not with a row of the registry.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/AttemptResult.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AttemptResult.java
@@ -27,7 +27,7 @@
     /** The connection failed and nothing was sent. */
     record NotConnected() implements AttemptResult {}
 
-    /** The caller had disconnected, or the deadline had passed, before anything was sent. */
+    /** The caller had disconnected, the deadline had passed, or the upstream wanted no more requests before it was sent. */
     record NotSent() implements AttemptResult {}
 
     /** The upstream itself reported that it did not execute the request. */
--- a/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
@@ -99,7 +99,8 @@
     Transition<GatewayState, GatewayAction> peerConnected(
             GatewayState state, GatewayEvent.PeerConnected event, Instant now) {
         return Transition.to(state.with(state.peers().withConnected(event.peer()))
-                .with(state.crashes().asUnshared()));
+                .with(state.crashes().asUnshared())
+                .with(state.drainNotices().asUnshared()));
     }
 
     Transition<GatewayState, GatewayAction> peerReportReceived(
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
@@ -111,6 +111,13 @@
      */
     record ShareCrashes(List<CrashReport> crashes) implements GatewayAction {}
 
+    /**
+     * Tell the other gateways which upstreams said that they are draining.
+     *
+     * @param reports the upstreams
+     */
+    record ShareDrainNotices(List<DrainReport> reports) implements GatewayAction {}
+
     /**
      * Log that requests with a set of prompt parts are refused, or are no longer, because upstreams crash under them.
      *
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
@@ -25,7 +25,8 @@
         AttemptHandler attempts = new AttemptHandler(limits, calls, scheduler);
         ClusterStateHandler clusterState = new ClusterStateHandler(limits, scheduler);
         VersionMoveHandler versionMoves = new VersionMoveHandler();
-        TickHandler ticks = new TickHandler(limits, calls, crashes, scheduler);
+        DrainNoticeHandler drainNotices = new DrainNoticeHandler();
+        TickHandler ticks = new TickHandler(limits, calls, crashes, drainNotices, scheduler);
         this.handlers = EventRouter.<GatewayState, GatewayEvent, GatewayAction>over(GatewayEvent.class)
                 .on(GatewayEvent.CallArrived.class, calls::callArrived)
                 .on(GatewayEvent.CallerDisconnected.class, calls::callerDisconnected)
@@ -38,6 +39,8 @@
                 .on(GatewayEvent.PeerConnected.class, clusterState::peerConnected)
                 .on(GatewayEvent.PeerReportReceived.class, clusterState::peerReportReceived)
                 .on(GatewayEvent.PeerCrashesReceived.class, crashes::peerCrashesReceived)
+                .on(GatewayEvent.DrainNoticeReceived.class, drainNotices::noticeReceived)
+                .on(GatewayEvent.PeerDrainNoticesReceived.class, drainNotices::peerNoticesReceived)
                 .on(GatewayEvent.PeerDisconnected.class, clusterState::peerDisconnected)
                 .on(GatewayEvent.VersionMovesChanged.class, versionMoves::movesChanged)
                 .on(GatewayEvent.VersionRejected.class, versionMoves::versionRejected)
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
@@ -102,6 +102,20 @@
      */
     record PeerCrashesReceived(List<CrashReport> crashes) implements GatewayEvent {}
 
+    /**
+     * An upstream said in a response that it is draining.
+     *
+     * @param upstream the upstream
+     */
+    record DrainNoticeReceived(Upstream upstream) implements GatewayEvent {}
+
+    /**
+     * Another gateway told which upstreams said that they are draining.
+     *
+     * @param reports the upstreams
+     */
+    record PeerDrainNoticesReceived(List<DrainReport> reports) implements GatewayEvent {}
+
     /**
      * The operators' orders to move to other versions changed.
      *
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -41,7 +41,11 @@
         return new GatewayState(
                 ClusterView.EMPTY,
                 OpenCalls.NONE,
-                new FleetView(Peers.none(gateway), AccountShares.forQuotaWindow(quotaWindow), CrashEvidence.NONE),
+                new FleetView(
+                        Peers.none(gateway),
+                        AccountShares.forQuotaWindow(quotaWindow),
+                        CrashEvidence.NONE,
+                        DrainNotices.NONE),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
                 Optional.empty());
@@ -94,6 +98,10 @@
         return fleet.crashes();
     }
 
+    DrainNotices drainNotices() {
+        return fleet.drainNotices();
+    }
+
     /**
      * Returns whether the gateway is ready for new callers.
      *
@@ -179,6 +187,10 @@
         return next == crashes() ? this : with(fleet.with(next));
     }
 
+    GatewayState with(DrainNotices next) {
+        return next == drainNotices() ? this : with(fleet.with(next));
+    }
+
     GatewayState with(TargetName target, RetryBudget next) {
         return new GatewayState(
                 cluster, openCalls, fleet, retryBudgets.plus(target, next), versionTrials, stoppingSince);
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -144,6 +144,7 @@
         return entry.target().equals(target)
                 && upstream.registered()
                 && !entry.draining()
+                && !state.drainNotices().contains(entry.incarnation())
                 && !upstream.isEjected(now)
                 && isAllowedByMove(state, entry)
                 && !state.domainsOut().contains(entry.domain())
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
@@ -12,17 +12,25 @@
     private final GatewayLimits limits;
     private final CallHandler calls;
     private final CrashHandler crashes;
+    private final DrainNoticeHandler drainNotices;
     private final Scheduler scheduler;
 
-    TickHandler(GatewayLimits limits, CallHandler calls, CrashHandler crashes, Scheduler scheduler) {
+    TickHandler(
+            GatewayLimits limits,
+            CallHandler calls,
+            CrashHandler crashes,
+            DrainNoticeHandler drainNotices,
+            Scheduler scheduler) {
         this.limits = limits;
         this.calls = calls;
         this.crashes = crashes;
+        this.drainNotices = drainNotices;
         this.scheduler = scheduler;
     }
 
     Transition<GatewayState, GatewayAction> ticked(GatewayState state, GatewayEvent.Ticked event, Instant now) {
-        GatewayState updated = state.with(state.shares().withUpdatedLevel(configuredCapacity(state), now));
+        GatewayState updated = state.with(state.shares().withUpdatedLevel(configuredCapacity(state), now))
+                .with(state.drainNotices().withoutExpired(now));
         return crashes.attribute(updated, now)
                 .and(next -> scheduler.dispatchAll(next, now))
                 .and(next -> calls.expire(next, now))
@@ -47,7 +55,8 @@
         }
         Map<UpstreamIdentifier, PeerLoad> loads = loads(state);
         GatewayReport report = last.next(loads, state.shares(), now);
-        Transition<GatewayState, GatewayAction> shared = crashes.share(state, now);
+        Transition<GatewayState, GatewayAction> shared =
+                crashes.share(state, now).and(next -> drainNotices.share(next, now));
         return report.isEmpty() && !report.full()
                 ? shared
                 : shared.with(shared.state().with(state.peers().withLastReport(last.sent(report, loads, now))))
--- a/gateway/src/main/java/org/sassafrastrail/gateway/AttemptListener.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/AttemptListener.java
@@ -10,6 +10,9 @@
     /** Returns whether the caller has received a part of a stream of events from an earlier attempt. */
     boolean hasResponseStarted();
 
+    /** The head of any response of the upstream arrived, also of one that is not usable. */
+    void noticeReceived(UpstreamNotice notice);
+
     /** The head of a usable response arrived; the body follows. */
     void responseStarted(UpstreamResponseHead head);
 
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -34,6 +34,7 @@
     private final Consumer<GatewayEvent> events;
     private final CallRecorder recorder;
     private final ResponseMemory memory;
+    private final UpstreamNotices notices;
     private final Clock clock;
     private final Optional<EventStreamSplitter> splitter;
     private final CallerResponse response;
@@ -68,6 +69,7 @@
         this.events = events;
         this.recorder = recorder;
         this.memory = new ResponseMemory(upstreams.responseBuffers());
+        this.notices = upstreams.notices();
         this.clock = clock;
         this.splitter = description.route().streaming() ? Optional.of(new EventStreamSplitter()) : Optional.empty();
         this.response = new CallerResponse(exchange, () -> attempt.resume(), this::callerDisconnected);
@@ -134,10 +136,13 @@
         attempt.start();
     }
 
-    /** Builds the request when it can be sent to the upstream. Empty if the caller disconnected or the deadline has passed. */
+    /**
+     * Builds the request when it can be sent to the upstream. Empty if the caller disconnected, the deadline has passed, or
+     * the upstream wants no more requests.
+     */
     private Optional<ClientRequest> upstreamRequest() {
         disconnectCheck.run();
-        if (response.isClosed()) {
+        if (response.isClosed() || !notices.acceptsRequests(upstream)) {
             return Optional.empty();
         }
         Duration timeLeft = Duration.between(clock.instant(), expiresAt);
@@ -160,6 +165,14 @@
         return response.hasStarted();
     }
 
+    @Override
+    public void noticeReceived(UpstreamNotice notice) {
+        if (notice.draining()) {
+            notices.setDraining(upstream);
+            events.accept(new GatewayEvent.DrainNoticeReceived(upstream));
+        }
+    }
+
     @Override
     public void responseStarted(UpstreamResponseHead started) {
         responseHead = started;
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -51,6 +51,7 @@
     private final Map<Long, CallerExchange> calls = new ConcurrentHashMap<>();
     private final OpenConnections openConnections;
     private final Map<XnioIoThread, UpstreamConnectionPool> upstreamPools = new ConcurrentHashMap<>();
+    private final Map<XnioIoThread, UpstreamNotices> upstreamNotices = new ConcurrentHashMap<>();
 
     CallerFrontEnd(
             CallerProtocol protocol,
@@ -171,8 +172,10 @@
         }
         UpstreamConnectionPool pool = upstreamPools.computeIfAbsent(
                 exchange.getIoThread(), thread -> new UpstreamConnectionPool(thread, buffers));
+        UpstreamNotices notices =
+                upstreamNotices.computeIfAbsent(exchange.getIoThread(), thread -> new UpstreamNotices());
         CallerRequest request = new CallerRequest(number, description, body);
-        UpstreamResources upstreams = new UpstreamResources(pool, responseBuffers);
+        UpstreamResources upstreams = new UpstreamResources(pool, responseBuffers, notices);
         CallerExchange call = new CallerExchange(exchange, request, protocol, upstreams, events, recorder, clock);
         calls.put(number, call);
         exchange.addExchangeCompleteListener((done, next) -> {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerProtocol.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerProtocol.java
@@ -53,6 +53,14 @@
      */
     Optional<ReportedLoad> readReportedLoad(HeaderMap headers);
 
+    /**
+     * Reads what the head of a response says of the upstream itself.
+     *
+     * @param headers the response headers
+     * @return the notice
+     */
+    UpstreamNotice readNotice(HeaderMap headers);
+
     /**
      * Builds the headers of a response to a caller.
      *
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
@@ -64,6 +64,8 @@
             peers.sendReport(send.report());
         } else if (action instanceof GatewayAction.ShareCrashes share) {
             peers.shareCrashes(share.crashes());
+        } else if (action instanceof GatewayAction.ShareDrainNotices share) {
+            peers.shareDrainNotices(share.reports());
         } else if (action instanceof GatewayAction.ReportCrashCause cause) {
             recordCrashCause(cause);
         } else if (action instanceof GatewayAction.RejectVersion reject) {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -12,11 +12,13 @@
 import org.sassafrastrail.durable.TableRow;
 import org.sassafrastrail.durable.WatchedTable;
 import org.sassafrastrail.gate.CrashReport;
+import org.sassafrastrail.gate.DrainReport;
 import org.sassafrastrail.gate.GatewayEvent;
 import org.sassafrastrail.gate.GatewayReport;
 import org.sassafrastrail.messages.CopiedRow;
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.CrashUpdate;
+import org.sassafrastrail.messages.DrainUpdate;
 import org.sassafrastrail.messages.Hello;
 import org.sassafrastrail.messages.LoadReport;
 import org.sassafrastrail.messages.Message;
@@ -149,6 +151,11 @@
         sendToAll(CrashUpdateMapper.toMessage(crashes));
     }
 
+    @Override
+    public void shareDrainNotices(List<DrainReport> reports) {
+        sendToAll(DrainUpdateMapper.toMessage(reports));
+    }
+
     private void sendToAll(Message message) {
         links.values().forEach(peer -> peer.stream().findFirst().ifPresent(link -> link.send(message)));
     }
@@ -168,6 +175,8 @@
                     link.peer().node().value(), LoadReportMapper.fromMessage(report)));
         } else if (message instanceof CrashUpdate update) {
             events.accept(new GatewayEvent.PeerCrashesReceived(CrashUpdateMapper.fromMessage(update)));
+        } else if (message instanceof DrainUpdate update) {
+            events.accept(new GatewayEvent.PeerDrainNoticesReceived(DrainUpdateMapper.fromMessage(update)));
         } else if (message instanceof CopyRequest request) {
             Optional.ofNullable(tables.get(request.table()))
                     .map(WatchedTable::snapshot)
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerNotifier.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerNotifier.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.sassafrastrail.gate.CrashReport;
+import org.sassafrastrail.gate.DrainReport;
 import org.sassafrastrail.gate.GatewayReport;
 
 /** Sends what this gateway has decided to tell its peers. */
@@ -13,4 +14,7 @@
 
     /** Tells all peers what this gateway has learnt of crashes of upstreams. */
     void shareCrashes(List<CrashReport> crashes);
+
+    /** Tells all peers which upstreams said that they are draining. */
+    void shareDrainNotices(List<DrainReport> reports);
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -98,7 +98,9 @@
             connection.client().sendRequest(ready.get(), callback(this::requestSent, this::fail));
         } else {
             connectionPool.release(upstream, opened, DEFAULT_KEEP_ALIVE);
-            end(new AttemptResult.NotSent(), "caller disconnected or deadline passed before the request was sent");
+            end(
+                    new AttemptResult.NotSent(),
+                    "no longer wanted by the caller or the upstream before the request was sent");
         }
     }
 
@@ -137,6 +139,9 @@
         HeaderMap headers = response.getResponseHeaders();
         ResponseFacts facts = protocol.readResponseFacts(response.getResponseCode(), headers);
         ResponseKind kind = ResponseClassifier.classify(requestIdentifier, facts, listener.hasResponseStarted());
+        if (kind != ResponseKind.WRONG_UPSTREAM) {
+            listener.noticeReceived(protocol.readNotice(headers));
+        }
         if (UNUSABLE.contains(kind)) {
             fail(kind + ", status " + response.getResponseCode());
             return;
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamResources.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamResources.java
@@ -5,5 +5,7 @@
  *
  * @param connectionPool the connections to upstreams
  * @param responseBuffers the memory for buffered responses
+ * @param notices the upstreams that want no more requests
  */
-record UpstreamResources(UpstreamConnectionPool connectionPool, BufferBudget responseBuffers) {}
+record UpstreamResources(
+        UpstreamConnectionPool connectionPool, BufferBudget responseBuffers, UpstreamNotices notices) {}
--- a/messages/src/main/java/org/sassafrastrail/messages/Message.java
+++ b/messages/src/main/java/org/sassafrastrail/messages/Message.java
@@ -17,4 +17,5 @@
                 LoadReport,
                 CopyRequest,
                 TableCopy,
-                CrashUpdate {}
+                CrashUpdate,
+                DrainUpdate {}
--- a/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
@@ -8,6 +8,7 @@
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.CrashUpdate;
 import org.sassafrastrail.messages.Demand;
+import org.sassafrastrail.messages.DrainUpdate;
 import org.sassafrastrail.messages.EvidenceUpdate;
 import org.sassafrastrail.messages.GrantOffer;
 import org.sassafrastrail.messages.GrantReturn;
@@ -38,7 +39,8 @@
     LOAD_REPORT(13, LoadReport.class),
     COPY_REQUEST(14, CopyRequest.class),
     TABLE_COPY(15, TableCopy.class),
-    CRASH_UPDATE(16, CrashUpdate.class);
+    CRASH_UPDATE(16, CrashUpdate.class),
+    DRAIN_UPDATE(17, DrainUpdate.class);
 
     private final byte number;
     private final Class<? extends Message> type;
--- a/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
+++ b/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
@@ -19,6 +19,8 @@
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.CrashUpdate;
 import org.sassafrastrail.messages.Demand;
+import org.sassafrastrail.messages.DrainUpdate;
+import org.sassafrastrail.messages.DrainingUpstream;
 import org.sassafrastrail.messages.EvidenceEntry;
 import org.sassafrastrail.messages.EvidenceUpdate;
 import org.sassafrastrail.messages.GrantOffer;
@@ -85,6 +87,7 @@
                         true,
                         List.of(new SuspectPart("a1b2", 90, true)),
                         List.of("c3d4")))),
+                new DrainUpdate(List.of(new DrainingUpstream("i-1", 1_770_000_000_000L, 40))),
                 new CopyRequest("servers", 17),
                 new TableCopy("servers", 18, List.of()),
                 new Demand(List.of(new AccountDemand(new AccountName("kitchen"), 3, 100, 20))),
