Leave an upstream alone that asks for a pause with a 503 (BUDGET)

The field was not read. Now the upstream is no candidate until the latest end; requests for which all are paused beyond their wait are refused at once and told when to return; load returns within a second after a pause.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
@@ -61,7 +61,8 @@
                                 now)
                         .and(next -> resolve(next, call, event.result(), now))
                         .and(next -> Transition.to(CrashHandler.attemptEnded(next, call, event.result(), now)))
-                        .and(next -> scheduler.dispatchQueued(next, call.target(), now)))
+                        .and(next -> scheduler.dispatchQueued(next, call.target(), now))
+                        .and(next -> calls.refusePaused(next, call.target(), now)))
                 .orElseGet(() -> Transition.to(state));
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
@@ -2,13 +2,18 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Set;
 
 import org.sassafrastrail.decision.Transition;
 import org.sassafrastrail.model.RefusalReason;
+import org.sassafrastrail.model.TargetName;
 
 /** Handles the arrival of requests, disconnecting callers, and expired deadlines and queueing times. */
 final class CallHandler {
 
+    /** The part of a time to return by which it is extended at most. */
+    private static final double MAX_SPREAD_SHARE = 0.25;
+
     private final GatewayLimits limits;
     private final Scheduler scheduler;
 
@@ -35,7 +40,9 @@
                                 SchedulingOrder.account(call),
                                 description.prompt().cost(),
                                 now));
-        return scheduler.dispatchOnArrival(recorded.with(call), call, now);
+        return scheduler
+                .dispatchOnArrival(recorded.with(call), call, now)
+                .and(next -> refusePaused(next, call.target(), now));
     }
 
     Transition<GatewayState, GatewayAction> callerDisconnected(
@@ -102,6 +109,28 @@
         return Duration.between(call.queuedSince(), now).toNanos() > maxNanos;
     }
 
+    /**
+     * Refuses the queued requests of a target for which every upstream is paused for longer than they may wait. They are told
+     * to return when the first pause has ended.
+     */
+    Transition<GatewayState, GatewayAction> refusePaused(GatewayState state, TargetName target, Instant now) {
+        return state.pauses().isEmpty()
+                ? Transition.to(state)
+                : Transition.<GatewayState, GatewayAction>to(state)
+                        .forEach(
+                                state.queuedCalls()
+                                        .filter(call -> call.target().equals(target))
+                                        .filter(call -> isPausedTooLong(state, call, now)),
+                                (next, call) -> refuse(next, call, RefusalReason.UPSTREAMS_PAUSED, now));
+    }
+
+    private boolean isPausedTooLong(GatewayState state, Call call, Instant now) {
+        return scheduler
+                .pausedUntil(state, call.target(), call.triedUpstreams(), now)
+                .filter(end -> isQueuedTooLong(call, end) || !end.isBefore(expiresAt(state, call)))
+                .isPresent();
+    }
+
     /**
      * Ends a queued request: delivers the stored failure if there is one, reports an unknown outcome if the request may
      * have run, and refuses it otherwise.
@@ -120,8 +149,24 @@
                 : new GatewayAction.Refuse(
                         call.number(),
                         reason,
-                        reason == RefusalReason.UPSTREAM_CRASHES ? limits.crashRetention() : limits.retryAfter(),
+                        retryAfter(state, call, reason, now),
                         Duration.between(call.queuedSince(), now),
                         scheduler.capacitySnapshot(state, call, now));
     }
+
+    private Duration retryAfter(GatewayState state, Call call, RefusalReason reason, Instant now) {
+        if (reason == RefusalReason.UPSTREAM_CRASHES) {
+            return limits.crashRetention();
+        }
+        return scheduler
+                .pausedUntil(state, call.target(), Set.of(), now)
+                .map(end -> spread(Duration.between(now, end), call))
+                .orElse(limits.retryAfter());
+    }
+
+    /** Extends the time until the end of a pause by up to a part of it, so that callers do not return all at once. */
+    private static Duration spread(Duration time, Call call) {
+        long extra = Math.round(time.toMillis() * MAX_SPREAD_SHARE);
+        return time.plusMillis(Math.floorMod(StableHash.of(call.description().request()), extra + 1));
+    }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
@@ -24,6 +24,7 @@
                 new CrashHandler(limits, new RecurringPartAttribution(limits.minCrashesOfCause()), calls);
         AttemptHandler attempts = new AttemptHandler(limits, calls, scheduler);
         ClusterStateHandler clusterState = new ClusterStateHandler(limits, scheduler);
+        PauseHandler pauses = new PauseHandler(calls);
         VersionMoveHandler versionMoves = new VersionMoveHandler();
         DrainNoticeHandler drainNotices = new DrainNoticeHandler();
         TickHandler ticks = new TickHandler(limits, calls, crashes, drainNotices, scheduler);
@@ -41,6 +42,7 @@
                 .on(GatewayEvent.PeerCrashesReceived.class, crashes::peerCrashesReceived)
                 .on(GatewayEvent.DrainNoticeReceived.class, drainNotices::noticeReceived)
                 .on(GatewayEvent.PeerDrainNoticesReceived.class, drainNotices::peerNoticesReceived)
+                .on(GatewayEvent.PauseRequested.class, pauses::pauseRequested)
                 .on(GatewayEvent.PeerDisconnected.class, clusterState::peerDisconnected)
                 .on(GatewayEvent.VersionMovesChanged.class, versionMoves::movesChanged)
                 .on(GatewayEvent.VersionRejected.class, versionMoves::versionRejected)
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
@@ -1,5 +1,6 @@
 package org.sassafrastrail.gate;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
@@ -116,6 +117,14 @@
      */
     record PeerDrainNoticesReceived(List<DrainReport> reports) implements GatewayEvent {}
 
+    /**
+     * An upstream wants no more requests of this gateway for some time.
+     *
+     * @param upstream the upstream
+     * @param duration for how long
+     */
+    record PauseRequested(Upstream upstream, Duration duration) implements GatewayEvent {}
+
     /**
      * The operators' orders to move to other versions changed.
      *
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -20,6 +20,7 @@
  * @param fleet what it knows together with the other gateways
  * @param retryBudgets the retry budget of each target
  * @param versionTrials the moves to another version, by target
+ * @param pauses the upstreams that wanted no more requests of this gateway for some time
  * @param stoppingSince when the graceful shutdown began, empty if the gateway is not stopping
  */
 public record GatewayState(
@@ -28,6 +29,7 @@
         FleetView fleet,
         PMap<TargetName, RetryBudget> retryBudgets,
         PMap<TargetName, VersionTrial> versionTrials,
+        UpstreamPauses pauses,
         Optional<Instant> stoppingSince) {
 
     /**
@@ -48,6 +50,7 @@
                         DrainNotices.NONE),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
+                UpstreamPauses.NONE,
                 Optional.empty());
     }
 
@@ -144,15 +147,15 @@
     }
 
     private GatewayState with(ClusterView next) {
-        return new GatewayState(next, openCalls, fleet, retryBudgets, versionTrials, stoppingSince);
+        return new GatewayState(next, openCalls, fleet, retryBudgets, versionTrials, pauses, stoppingSince);
     }
 
     private GatewayState with(OpenCalls next) {
-        return new GatewayState(cluster, next, fleet, retryBudgets, versionTrials, stoppingSince);
+        return new GatewayState(cluster, next, fleet, retryBudgets, versionTrials, pauses, stoppingSince);
     }
 
     private GatewayState with(FleetView next) {
-        return new GatewayState(cluster, openCalls, next, retryBudgets, versionTrials, stoppingSince);
+        return new GatewayState(cluster, openCalls, next, retryBudgets, versionTrials, pauses, stoppingSince);
     }
 
     GatewayState with(GatewayConfiguration next) {
@@ -193,15 +196,21 @@
 
     GatewayState with(TargetName target, RetryBudget next) {
         return new GatewayState(
-                cluster, openCalls, fleet, retryBudgets.plus(target, next), versionTrials, stoppingSince);
+                cluster, openCalls, fleet, retryBudgets.plus(target, next), versionTrials, pauses, stoppingSince);
     }
 
     GatewayState withVersionTrials(PMap<TargetName, VersionTrial> next) {
-        return new GatewayState(cluster, openCalls, fleet, retryBudgets, next, stoppingSince);
+        return new GatewayState(cluster, openCalls, fleet, retryBudgets, next, pauses, stoppingSince);
+    }
+
+    GatewayState with(UpstreamPauses next) {
+        return next == pauses
+                ? this
+                : new GatewayState(cluster, openCalls, fleet, retryBudgets, versionTrials, next, stoppingSince);
     }
 
     GatewayState stopping(Instant now) {
-        return new GatewayState(cluster, openCalls, fleet, retryBudgets, versionTrials, Optional.of(now));
+        return new GatewayState(cluster, openCalls, fleet, retryBudgets, versionTrials, pauses, Optional.of(now));
     }
 
     /** Returns whether a request is like those under which upstreams crashed. */
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.sassafrastrail.decision.Transition;
 import org.sassafrastrail.model.TargetName;
@@ -140,6 +142,36 @@
     }
 
     private boolean isEligible(GatewayState state, UpstreamState upstream, TargetName target, Instant now) {
+        return isAvailable(state, upstream, target, now)
+                && state.pauses().allows(upstream, state.peers().gateways(), now);
+    }
+
+    /**
+     * Returns when the first upstream of a target takes requests again, if all of them have asked for a pause.
+     *
+     * @param state the state
+     * @param target the target
+     * @param tried the upstreams that are left aside
+     * @param now the time
+     * @return the earliest end of a pause, empty if an upstream is not paused or none is available
+     */
+    Optional<Instant> pausedUntil(GatewayState state, TargetName target, Set<UpstreamIdentifier> tried, Instant now) {
+        if (state.pauses().isEmpty()) {
+            return Optional.empty();
+        }
+        List<Optional<Instant>> ends = state.upstreams().values().stream()
+                .filter(upstream -> isAvailable(state, upstream, target, now))
+                .map(UpstreamState::upstream)
+                .filter(upstream -> !tried.contains(upstream.identifier()))
+                .map(upstream -> state.pauses().pausedUntil(upstream.incarnation(), now))
+                .toList();
+        return ends.stream().allMatch(Optional::isPresent)
+                ? ends.stream().flatMap(Optional::stream).min(Comparator.naturalOrder())
+                : Optional.empty();
+    }
+
+    /** Returns whether an upstream takes requests of a target, but for a pause that it may have asked for. */
+    private boolean isAvailable(GatewayState state, UpstreamState upstream, TargetName target, Instant now) {
         Upstream entry = upstream.upstream();
         return entry.target().equals(target)
                 && upstream.registered()
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
@@ -30,7 +30,8 @@
 
     Transition<GatewayState, GatewayAction> ticked(GatewayState state, GatewayEvent.Ticked event, Instant now) {
         GatewayState updated = state.with(state.shares().withUpdatedLevel(configuredCapacity(state), now))
-                .with(state.drainNotices().withoutExpired(now));
+                .with(state.drainNotices().withoutExpired(now))
+                .with(state.pauses().withoutEnded(now));
         return crashes.attribute(updated, now)
                 .and(next -> scheduler.dispatchAll(next, now))
                 .and(next -> calls.expire(next, now))
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Upstream.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Upstream.java
@@ -33,7 +33,12 @@
         Duration coldRemaining,
         long startedAtMillis) {
 
-    UpstreamIncarnation incarnation() {
+    /**
+     * Returns which process of the upstream the entry is of.
+     *
+     * @return the incarnation
+     */
+    public UpstreamIncarnation incarnation() {
         return new UpstreamIncarnation(identifier.value(), startedAtMillis);
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/UpstreamStatus.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/UpstreamStatus.java
@@ -10,6 +10,8 @@
     GONE,
     /** The upstream failed too often and temporarily gets no requests. */
     EJECTED,
+    /** The upstream wants no requests for some time. */
+    PAUSED,
     /** The ejection of the upstream has ended. */
     BACK
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallRecorder.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallRecorder.java
@@ -47,6 +47,13 @@
      */
     void attemptEnded(CallDescription call, int attempt, Upstream upstream, AttemptResult result, String cause);
 
+    /**
+     * An upstream asked for a pause in a form that cannot be understood.
+     *
+     * @param upstream the upstream
+     */
+    void pauseIgnored(Upstream upstream);
+
     /**
      * The exchange with a caller ended.
      *
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -171,6 +171,13 @@
             notices.setDraining(upstream);
             events.accept(new GatewayEvent.DrainNoticeReceived(upstream));
         }
+        notice.pause().ifPresent(pause -> {
+            notices.setPause(upstream, pause);
+            events.accept(new GatewayEvent.PauseRequested(upstream, pause));
+        });
+        if (notice.pauseInvalid()) {
+            recorder.pauseIgnored(upstream);
+        }
     }
 
     @Override
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -173,7 +173,7 @@
         UpstreamConnectionPool pool = upstreamPools.computeIfAbsent(
                 exchange.getIoThread(), thread -> new UpstreamConnectionPool(thread, buffers));
         UpstreamNotices notices =
-                upstreamNotices.computeIfAbsent(exchange.getIoThread(), thread -> new UpstreamNotices());
+                upstreamNotices.computeIfAbsent(exchange.getIoThread(), thread -> new UpstreamNotices(clock));
         CallerRequest request = new CallerRequest(number, description, body);
         UpstreamResources upstreams = new UpstreamResources(pool, responseBuffers, notices);
         CallerExchange call = new CallerExchange(exchange, request, protocol, upstreams, events, recorder, clock);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerProtocol.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerProtocol.java
@@ -56,10 +56,11 @@
     /**
      * Reads what the head of a response says of the upstream itself.
      *
+     * @param status the status code
      * @param headers the response headers
      * @return the notice
      */
-    UpstreamNotice readNotice(HeaderMap headers);
+    UpstreamNotice readNotice(int status, HeaderMap headers);
 
     /**
      * Builds the headers of a response to a caller.
--- a/gateway/src/main/java/org/sassafrastrail/gateway/LoggingCallRecorder.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/LoggingCallRecorder.java
@@ -82,6 +82,12 @@
                 : prompt.parts().stream().map(PromptPart::identifier).collect(Collectors.joining(","));
     }
 
+    @Override
+    public void pauseIgnored(Upstream upstream) {
+        metrics.count("pauses-ignored", 1);
+        log.debug("pause-ignored", LogField.of("upstream", upstream.identifier()));
+    }
+
     @Override
     public void finished(FinishedCall call) {
         String route = call.description().route().name();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -140,7 +140,7 @@
         ResponseFacts facts = protocol.readResponseFacts(response.getResponseCode(), headers);
         ResponseKind kind = ResponseClassifier.classify(requestIdentifier, facts, listener.hasResponseStarted());
         if (kind != ResponseKind.WRONG_UPSTREAM) {
-            listener.noticeReceived(protocol.readNotice(headers));
+            listener.noticeReceived(protocol.readNotice(response.getResponseCode(), headers));
         }
         if (UNUSABLE.contains(kind)) {
             fail(kind + ", status " + response.getResponseCode());
--- a/model/src/main/java/org/sassafrastrail/model/RefusalReason.java
+++ b/model/src/main/java/org/sassafrastrail/model/RefusalReason.java
@@ -34,6 +34,8 @@
     HELD_TOO_LONG,
     /** Upstreams crash under such requests. */
     UPSTREAM_CRASHES,
+    /** Every upstream has asked for a pause that is longer than the request may wait. */
+    UPSTREAMS_PAUSED,
     /** Every upstream that was tried reported that it did not run the request, or was unreachable. */
     UPSTREAM_DECLINED
 }
--- a/router/src/main/java/org/sassafrastrail/router/Problems.java
+++ b/router/src/main/java/org/sassafrastrail/router/Problems.java
@@ -30,6 +30,7 @@
             Map.entry(RefusalReason.CALLER_GONE, StatusCodes.SERVICE_UNAVAILABLE),
             Map.entry(RefusalReason.HELD_TOO_LONG, StatusCodes.SERVICE_UNAVAILABLE),
             Map.entry(RefusalReason.UPSTREAM_CRASHES, StatusCodes.SERVICE_UNAVAILABLE),
+            Map.entry(RefusalReason.UPSTREAMS_PAUSED, StatusCodes.SERVICE_UNAVAILABLE),
             Map.entry(RefusalReason.UPSTREAM_DECLINED, StatusCodes.SERVICE_UNAVAILABLE));
 
     private Problems() {}
