Group the state of an upstream by what it is about

UpstreamState repeated its ten fields in nine places. Its own load is a PeerLoad, the cold period and the health are types of their own. Behaviour is meant to be unchanged: the 119 tests of gate-core pass.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
@@ -95,7 +95,7 @@
         }
         UpstreamState failed = upstream.failed();
         boolean eject = result instanceof AttemptResult.WrongUpstream
-                || failed.consecutiveFailures() >= limits.ejectionThreshold();
+                || failed.health().consecutiveFailures() >= limits.ejectionThreshold();
         if (!eject) {
             return Transition.to(state.with(failed));
         }
@@ -104,8 +104,8 @@
                 .then(new GatewayAction.ReportUpstreamStatus(
                         upstream.upstream().identifier(),
                         UpstreamStatus.EJECTED,
-                        result.getClass().getSimpleName() + " after " + failed.consecutiveFailures()
-                                + " consecutive failures"));
+                        result.getClass().getSimpleName() + " after "
+                                + failed.health().consecutiveFailures() + " consecutive failures"));
     }
 
     private Transition<GatewayState, GatewayAction> resolve(
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
@@ -68,15 +68,15 @@
         return state.upstreams().values().stream()
                 .filter(upstream -> upstream.running() > 0)
                 .collect(Collectors.toUnmodifiableMap(
-                        upstream -> upstream.upstream().identifier(),
-                        upstream -> new PeerLoad(upstream.running(), upstream.pendingPrefillTokens())));
+                        upstream -> upstream.upstream().identifier(), UpstreamState::load));
     }
 
     private Transition<GatewayState, GatewayAction> endEjections(GatewayState state, Instant now) {
         return Transition.<GatewayState, GatewayAction>to(state)
                 .forEach(
                         state.upstreams().values().stream()
-                                .filter(upstream -> upstream.ejectedUntil() != Instant.MIN && !upstream.isEjected(now)),
+                                .filter(upstream ->
+                                        upstream.health().ejectedUntil() != Instant.MIN && !upstream.isEjected(now)),
                         (next, upstream) -> Transition.<GatewayState, GatewayAction>to(
                                         next.with(upstream.withEjectedUntil(Instant.MIN)))
                                 .then(new GatewayAction.ReportUpstreamStatus(
