--- a/gate-core/src/test/java/org/sassafrastrail/gate/DrainNoticeHandlerTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/DrainNoticeHandlerTest.java
@@ -90,17 +90,7 @@
     @Test
     void restartedUpstreamDoesNotDrain() {
         gateway.handle(new GatewayEvent.DrainNoticeReceived(UPSTREAM));
-        gateway.register(new Upstream(
-                UPSTREAM.identifier(),
-                UPSTREAM.target(),
-                UPSTREAM.host(),
-                UPSTREAM.port(),
-                UPSTREAM.domain(),
-                UPSTREAM.version(),
-                UPSTREAM.slots(),
-                false,
-                Duration.ZERO,
-                UPSTREAM.startedAtMillis() + 1));
+        gateway.register(GatewayDriver.restarted(UPSTREAM));
         assertThat(dispatch(1)).contains("one");
     }
 
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GatewayDriver.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GatewayDriver.java
@@ -126,7 +126,15 @@
         return changed(upstream, upstream.draining(), left);
     }
 
+    static Upstream restarted(Upstream upstream) {
+        return changed(upstream, false, Duration.ZERO, upstream.startedAtMillis() + 1);
+    }
+
     private static Upstream changed(Upstream upstream, boolean draining, Duration coldRemaining) {
+        return changed(upstream, draining, coldRemaining, upstream.startedAtMillis());
+    }
+
+    private static Upstream changed(Upstream upstream, boolean draining, Duration coldRemaining, long startedAtMillis) {
         return new Upstream(
                 upstream.identifier(),
                 upstream.target(),
@@ -137,7 +145,7 @@
                 upstream.slots(),
                 draining,
                 coldRemaining,
-                upstream.startedAtMillis());
+                startedAtMillis);
     }
 
     static Prompt prompt(String session, int sessionTokens, long inputTokens) {
--- a/gate-core/src/test/java/org/sassafrastrail/gate/PauseHandlerTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/PauseHandlerTest.java
@@ -147,17 +147,7 @@
     @Test
     void restartedUpstreamIsNotPaused() {
         pause(UPSTREAM, LONG);
-        gateway.register(new Upstream(
-                UPSTREAM.identifier(),
-                UPSTREAM.target(),
-                UPSTREAM.host(),
-                UPSTREAM.port(),
-                UPSTREAM.domain(),
-                UPSTREAM.version(),
-                UPSTREAM.slots(),
-                false,
-                Duration.ZERO,
-                UPSTREAM.startedAtMillis() + 1));
+        gateway.register(GatewayDriver.restarted(UPSTREAM));
         assertThat(dispatchedOf(1, 1)).isEqualTo(1);
     }
 
