Reset a connection only in the middle of a response that has begun

A request that is aborted before its response has begun, at the end of a shutdown or because its caller closed its side, got a reset that could discard what was written of the response before it on the same connection. Nothing of an unframed body has been sent then, so an ordinary close is enough.

--- a/http/src/main/java/org/sassafrastrail/http/ResponseFraming.java
+++ b/http/src/main/java/org/sassafrastrail/http/ResponseFraming.java
@@ -66,7 +66,7 @@
      * @param exchange the exchange
      */
     public static void abort(HttpServerExchange exchange) {
-        if (bodyEnd(exchange.getResponseHeaders()) == BodyEnd.CONNECTION_END) {
+        if (exchange.isResponseStarted() && bodyEnd(exchange.getResponseHeaders()) == BodyEnd.CONNECTION_END) {
             resetOnClose(exchange);
         }
         IoUtils.safeClose(exchange.getConnection());
