Write draining upstreams to peers without field names

MessagePackCodec writes each record as an array without names, and takes the nested types from a list. DrainingUpstream was missing there, so that its fields went out with their names, against what the class says. Found on reading the change again; the round trip did not show it. The new test holds it for all messages, and failed for this one only.

--- a/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
@@ -20,6 +20,7 @@
 import org.sassafrastrail.messages.AccountDemand;
 import org.sassafrastrail.messages.AccountUsage;
 import org.sassafrastrail.messages.CopiedRow;
+import org.sassafrastrail.messages.DrainingUpstream;
 import org.sassafrastrail.messages.EvidenceEntry;
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.messages.MoveProgress;
@@ -62,6 +63,7 @@
             AccountUsage.class,
             AttemptIdentifier.class,
             CopiedRow.class,
+            DrainingUpstream.class,
             EvidenceEntry.class,
             GrantIdentifier.class,
             LedgerEntry.class,
--- a/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
+++ b/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
@@ -1,14 +1,19 @@
 package org.sassafrastrail.wire;
 
+import java.io.IOException;
 import java.time.Instant;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
+import java.util.stream.StreamSupport;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.sassafrastrail.fairness.LedgerEntry;
 import org.sassafrastrail.fairness.LedgerKey;
 import org.sassafrastrail.fairness.LedgerWriter;
@@ -116,6 +121,21 @@
         assertThat(codec.decode(content)).isEqualTo(new DecodeResult.Decoded(message));
     }
 
+    /** Guards against a nested type that is not registered, whose fields would be written with their names. */
+    @ParameterizedTest
+    @MethodSource("messages")
+    void encodedMessageHasNoFieldNames(Message message) throws IOException {
+        byte[] content = codec.encode(message);
+        JsonNode fields = new ObjectMapper(new MessagePackFactory()).readTree(content, 1, content.length - 1);
+        assertThat(objects(fields)).isEmpty();
+    }
+
+    private static Stream<JsonNode> objects(JsonNode node) {
+        Stream<JsonNode> nested =
+                StreamSupport.stream(node.spliterator(), false).flatMap(MessagePackCodecTest::objects);
+        return node.isObject() ? Stream.concat(Stream.of(node), nested) : nested;
+    }
+
     @Test
     void everyMessageTypeHasKindNumber() {
         assertThat(Stream.of(Message.class.getPermittedSubclasses()))
