--- a/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
@@ -62,7 +62,7 @@
                         .and(next -> resolve(next, call, event.result(), now))
                         .and(next -> Transition.to(CrashHandler.attemptEnded(next, call, event.result(), now)))
                         .and(next -> scheduler.dispatchQueued(next, call.target(), now))
-                        .and(next -> calls.refusePaused(next, call.target(), now)))
+                        .and(next -> calls.refuseIfPaused(next, call.number(), now)))
                 .orElseGet(() -> Transition.to(state));
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
@@ -42,7 +42,7 @@
                                 now));
         return scheduler
                 .dispatchOnArrival(recorded.with(call), call, now)
-                .and(next -> refusePaused(next, call.target(), now));
+                .and(next -> refuseIfPaused(next, call.number(), now));
     }
 
     Transition<GatewayState, GatewayAction> callerDisconnected(
@@ -109,19 +109,24 @@
         return Duration.between(call.queuedSince(), now).toNanos() > maxNanos;
     }
 
+    /** Refuses a request if it is queued and every upstream is paused for longer than it may wait. */
+    Transition<GatewayState, GatewayAction> refuseIfPaused(GatewayState state, long number, Instant now) {
+        return state.call(number)
+                .filter(Call::isQueued)
+                .filter(call -> isPausedTooLong(state, call, now))
+                .map(call -> refuse(state, call, RefusalReason.UPSTREAMS_PAUSED, now))
+                .orElseGet(() -> Transition.to(state));
+    }
+
     /**
      * Refuses the queued requests of a target for which every upstream is paused for longer than they may wait. They are told
      * to return when the first pause has ended.
      */
     Transition<GatewayState, GatewayAction> refusePaused(GatewayState state, TargetName target, Instant now) {
-        return state.pauses().isEmpty()
-                ? Transition.to(state)
-                : Transition.<GatewayState, GatewayAction>to(state)
-                        .forEach(
-                                state.queuedCalls()
-                                        .filter(call -> call.target().equals(target))
-                                        .filter(call -> isPausedTooLong(state, call, now)),
-                                (next, call) -> refuse(next, call, RefusalReason.UPSTREAMS_PAUSED, now));
+        return Transition.<GatewayState, GatewayAction>to(state)
+                .forEach(
+                        state.queuedCalls().filter(call -> call.target().equals(target)),
+                        (next, call) -> refuseIfPaused(next, call.number(), now));
     }
 
     private boolean isPausedTooLong(GatewayState state, Call call, Instant now) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/DrainNoticeHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/DrainNoticeHandler.java
@@ -18,7 +18,7 @@
         boolean known = state.drainNotices().contains(upstream);
         Transition<GatewayState, GatewayAction> next =
                 Transition.to(state.with(state.drainNotices().with(upstream, now)));
-        return known ? next : next.then(statusReport(event.upstream(), "says so in a response"));
+        return known ? next : next.then(statusReport(event.upstream(), "said so in a response to this gateway"));
     }
 
     /** Applies the notices of a peer that name upstreams known here and are not too old. */
@@ -39,7 +39,7 @@
         return Transition.<GatewayState, GatewayAction>to(
                         state.with(state.drainNotices().mergedWith(known)))
                 .thenAll(applied.stream()
-                        .map(upstream -> statusReport(upstream, "a peer heard it"))
+                        .map(upstream -> statusReport(upstream, "said so in a response to another gateway"))
                         .toList());
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/LastReport.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/LastReport.java
@@ -13,7 +13,7 @@
  * @param sentAt when the last report was sent
  * @param fullAt when the last full report was sent
  */
-record LastReport(Map<UpstreamIdentifier, PeerLoad> loads, Instant sentAt, Instant fullAt) {
+record LastReport(Map<UpstreamIdentifier, GatewayLoad> loads, Instant sentAt, Instant fullAt) {
 
     static final LastReport NONE = new LastReport(Map.of(), Instant.MIN, Instant.MIN);
 
@@ -25,18 +25,18 @@
     }
 
     /** Creates the next report, full or incremental. */
-    GatewayReport next(Map<UpstreamIdentifier, PeerLoad> current, AccountShares shares, Instant now) {
+    GatewayReport next(Map<UpstreamIdentifier, GatewayLoad> current, AccountShares shares, Instant now) {
         boolean full = !now.isBefore(fullAt.plus(FULL_REPORT_INTERVAL));
         return full
                 ? new GatewayReport(true, current, shares.changedSince(Instant.MIN, now))
                 : new GatewayReport(false, changedLoads(current), shares.changedSince(sentAt, now));
     }
 
-    private Map<UpstreamIdentifier, PeerLoad> changedLoads(Map<UpstreamIdentifier, PeerLoad> current) {
-        Map<UpstreamIdentifier, PeerLoad> changes = new HashMap<>();
+    private Map<UpstreamIdentifier, GatewayLoad> changedLoads(Map<UpstreamIdentifier, GatewayLoad> current) {
+        Map<UpstreamIdentifier, GatewayLoad> changes = new HashMap<>();
         loads.keySet().stream()
                 .filter(upstream -> !current.containsKey(upstream))
-                .forEach(upstream -> changes.put(upstream, PeerLoad.NONE));
+                .forEach(upstream -> changes.put(upstream, GatewayLoad.NONE));
         current.forEach((upstream, load) -> {
             if (!load.equals(loads.get(upstream))) {
                 changes.put(upstream, load);
@@ -45,7 +45,7 @@
         return changes;
     }
 
-    LastReport sent(GatewayReport report, Map<UpstreamIdentifier, PeerLoad> current, Instant now) {
+    LastReport sent(GatewayReport report, Map<UpstreamIdentifier, GatewayLoad> current, Instant now) {
         return new LastReport(current, now, report.full() ? now : fullAt);
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
@@ -19,8 +19,8 @@
 record Peers(
         String self,
         Set<String> registered,
-        Map<String, Map<UpstreamIdentifier, PeerLoad>> reports,
-        Map<UpstreamIdentifier, PeerLoad> loads,
+        Map<String, Map<UpstreamIdentifier, GatewayLoad>> reports,
+        Map<UpstreamIdentifier, GatewayLoad> loads,
         LastReport lastReport) {
 
     static Peers none(String self) {
@@ -39,42 +39,42 @@
 
     /** Applies a peer's report incrementally, without iterating over the reports of the other peers. */
     Peers withReport(String peer, GatewayReport report) {
-        Map<UpstreamIdentifier, PeerLoad> before = reports.getOrDefault(peer, Map.of());
-        Map<UpstreamIdentifier, PeerLoad> after = new HashMap<>(report.full() ? Map.of() : before);
+        Map<UpstreamIdentifier, GatewayLoad> before = reports.getOrDefault(peer, Map.of());
+        Map<UpstreamIdentifier, GatewayLoad> after = new HashMap<>(report.full() ? Map.of() : before);
         report.loads().forEach((upstream, load) -> put(after, upstream, load));
-        Map<UpstreamIdentifier, PeerLoad> sums = new HashMap<>(loads);
+        Map<UpstreamIdentifier, GatewayLoad> sums = new HashMap<>(loads);
         changedUpstreams(report, before)
                 .forEach(upstream -> put(
                         sums,
                         upstream,
                         loadIn(loads, upstream).minus(loadIn(before, upstream)).plus(loadIn(after, upstream))));
-        Map<String, Map<UpstreamIdentifier, PeerLoad>> next = new HashMap<>(reports);
+        Map<String, Map<UpstreamIdentifier, GatewayLoad>> next = new HashMap<>(reports);
         next.put(peer, Collections.unmodifiableMap(after));
         return new Peers(
                 self, registered, Collections.unmodifiableMap(next), Collections.unmodifiableMap(sums), lastReport);
     }
 
     private static Stream<UpstreamIdentifier> changedUpstreams(
-            GatewayReport report, Map<UpstreamIdentifier, PeerLoad> before) {
+            GatewayReport report, Map<UpstreamIdentifier, GatewayLoad> before) {
         Stream<UpstreamIdentifier> reported = report.loads().keySet().stream();
         return report.full() ? Stream.concat(reported, before.keySet().stream()).distinct() : reported;
     }
 
-    private static void put(Map<UpstreamIdentifier, PeerLoad> map, UpstreamIdentifier upstream, PeerLoad load) {
-        if (load.equals(PeerLoad.NONE)) {
+    private static void put(Map<UpstreamIdentifier, GatewayLoad> map, UpstreamIdentifier upstream, GatewayLoad load) {
+        if (load.equals(GatewayLoad.NONE)) {
             map.remove(upstream);
         } else {
             map.put(upstream, load);
         }
     }
 
-    private static PeerLoad loadIn(Map<UpstreamIdentifier, PeerLoad> map, UpstreamIdentifier upstream) {
-        return map.getOrDefault(upstream, PeerLoad.NONE);
+    private static GatewayLoad loadIn(Map<UpstreamIdentifier, GatewayLoad> map, UpstreamIdentifier upstream) {
+        return map.getOrDefault(upstream, GatewayLoad.NONE);
     }
 
     Peers withoutPeer(String peer) {
         Peers without = withReport(peer, GatewayReport.NOTHING);
-        Map<String, Map<UpstreamIdentifier, PeerLoad>> remaining = new HashMap<>(without.reports);
+        Map<String, Map<UpstreamIdentifier, GatewayLoad>> remaining = new HashMap<>(without.reports);
         remaining.remove(peer);
         return new Peers(self, registered, Collections.unmodifiableMap(remaining), without.loads, lastReport);
     }
@@ -122,7 +122,7 @@
         return (double) gateways() / connectedGateways();
     }
 
-    PeerLoad loadAt(UpstreamIdentifier upstream) {
+    GatewayLoad loadAt(UpstreamIdentifier upstream) {
         return loadIn(loads, upstream);
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
@@ -21,7 +21,7 @@
      * @param peerLoad the load that the other gateways put on it
      * @param unknownRequests the number of its requests that no gateway is known to have sent
      */
-    record Candidate(UpstreamState upstream, PeerLoad peerLoad, int unknownRequests) {
+    record Candidate(UpstreamState upstream, GatewayLoad peerLoad, int unknownRequests) {
 
         UpstreamIdentifier identifier() {
             return upstream.upstream().identifier();
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
@@ -54,7 +54,7 @@
         if (!last.isDue(now, limits.reportSpacing().multipliedBy(state.peers().connectedGateways() - 1))) {
             return Transition.to(state);
         }
-        Map<UpstreamIdentifier, PeerLoad> loads = loads(state);
+        Map<UpstreamIdentifier, GatewayLoad> loads = loads(state);
         GatewayReport report = last.next(loads, state.shares(), now);
         Transition<GatewayState, GatewayAction> shared =
                 crashes.share(state, now).and(next -> drainNotices.share(next, now));
@@ -64,7 +64,7 @@
                         .then(new GatewayAction.SendReport(report));
     }
 
-    private static Map<UpstreamIdentifier, PeerLoad> loads(GatewayState state) {
+    private static Map<UpstreamIdentifier, GatewayLoad> loads(GatewayState state) {
         return state.upstreams().values().stream()
                 .filter(upstream -> upstream.running() > 0)
                 .collect(Collectors.toUnmodifiableMap(
--- a/gate-core/src/main/java/org/sassafrastrail/gate/UpstreamPauses.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/UpstreamPauses.java
@@ -38,7 +38,10 @@
         return Optional.ofNullable(ends.get(upstream)).filter(now::isBefore);
     }
 
-    /** Returns whether an upstream may get another request of this gateway, which may be its first after a pause. */
+    /**
+     * Returns whether an upstream may get another request of this gateway: it is not paused, and after a pause the requests
+     * that it runs are still below what the ramp allows.
+     */
     boolean allows(UpstreamState upstream, int gateways, Instant now) {
         Instant end = ends.get(upstream.upstream().incarnation());
         return end == null || !now.isBefore(end) && upstream.running() < rampLimit(upstream, end, gateways, now);
--- a/gate-core/src/main/java/org/sassafrastrail/gate/UpstreamState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/UpstreamState.java
@@ -19,7 +19,7 @@
 record UpstreamState(
         Upstream upstream,
         boolean registered,
-        PeerLoad load,
+        GatewayLoad load,
         ColdPeriod coldPeriod,
         UpstreamHealth health,
         PrefillRate prefillRate,
@@ -29,7 +29,7 @@
         return new UpstreamState(
                 upstream,
                 true,
-                PeerLoad.NONE,
+                GatewayLoad.NONE,
                 ColdPeriod.starting(upstream.coldRemaining(), now),
                 UpstreamHealth.SOUND,
                 assumedRate,
@@ -47,20 +47,20 @@
     }
 
     UpstreamState dispatched(Attempt attempt, Instant now) {
-        PeerLoad added = load.plus(new PeerLoad(1, attempt.prefillTokens()));
+        GatewayLoad added = load.plus(new GatewayLoad(1, attempt.prefillTokens()));
         return new UpstreamState(
                 upstream, registered, added, coldPeriod.dispatched(now), health, prefillRate, unknownLoad);
     }
 
     UpstreamState prefillFinished(Attempt attempt) {
-        return with(load.minus(new PeerLoad(0, attempt.prefillTokens())));
+        return with(load.minus(new GatewayLoad(0, attempt.prefillTokens())));
     }
 
     UpstreamState attemptEnded(Attempt attempt) {
-        return with(load.minus(new PeerLoad(1, attempt.prefilling() ? attempt.prefillTokens() : 0)));
+        return with(load.minus(new GatewayLoad(1, attempt.prefilling() ? attempt.prefillTokens() : 0)));
     }
 
-    private UpstreamState with(PeerLoad next) {
+    private UpstreamState with(GatewayLoad next) {
         return new UpstreamState(upstream, registered, next, coldPeriod, health, prefillRate, unknownLoad);
     }
 
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
@@ -408,7 +408,7 @@
                         .report()
                         .loads()
                         .values())
-                .containsExactly(PeerLoad.NONE);
+                .containsExactly(GatewayLoad.NONE);
     }
 
     /** Peers close a link on which nothing arrives, so an idle gateway has to send something. */
@@ -463,7 +463,7 @@
                 .withReport("peer", new GatewayReport(false, Map.of(engine("two"), load(3)), Map.of()));
         assertThat(peers.loads()).isEqualTo(Map.of(engine("one"), load(5), engine("two"), load(3)));
         Peers ended =
-                peers.withReport("peer", new GatewayReport(false, Map.of(engine("two"), PeerLoad.NONE), Map.of()));
+                peers.withReport("peer", new GatewayReport(false, Map.of(engine("two"), GatewayLoad.NONE), Map.of()));
         assertThat(ended.loads()).isEqualTo(Map.of(engine("one"), load(5)));
         assertThat(peers.withReport("peer", new GatewayReport(true, Map.of(engine("two"), load(1)), Map.of()))
                         .loads())
@@ -475,8 +475,8 @@
         return new UpstreamIdentifier(name);
     }
 
-    private static PeerLoad load(int running) {
-        return new PeerLoad(running, 100L * running);
+    private static GatewayLoad load(int running) {
+        return new GatewayLoad(running, 100L * running);
     }
 
     @Test
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GatewayDriver.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GatewayDriver.java
@@ -183,7 +183,7 @@
                 new GatewayReport(
                         true,
                         HashTreePMap.singleton(
-                                new UpstreamIdentifier(upstream), new PeerLoad(running, pendingPrefillTokens)),
+                                new UpstreamIdentifier(upstream), new GatewayLoad(running, pendingPrefillTokens)),
                         HashTreePMap.empty())));
     }
 
--- a/gate-core/src/test/java/org/sassafrastrail/gate/ReportCostTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/ReportCostTest.java
@@ -66,10 +66,10 @@
     /** Creates a report in which the peer fills every engine: a full one once a second, incremental ones otherwise. */
     private static GatewayEvent report(int peer, int round) {
         boolean full = round % REPORTS_PER_SECOND == 0;
-        Map<UpstreamIdentifier, PeerLoad> loads = some(full ? ENGINES : CHANGED_ENGINES, ENGINES, round)
+        Map<UpstreamIdentifier, GatewayLoad> loads = some(full ? ENGINES : CHANGED_ENGINES, ENGINES, round)
                 .collect(Collectors.toMap(
                         engine -> new UpstreamIdentifier("engine-" + engine),
-                        engine -> new PeerLoad(3 + round % 2, 5000 + 10L * round % 7)));
+                        engine -> new GatewayLoad(3 + round % 2, 5000 + 10L * round % 7)));
         Map<String, AccountTokens> accounts = some(full ? ACCOUNTS : CHANGED_ACCOUNTS, ACCOUNTS, round)
                 .collect(Collectors.toMap(
                         account -> "account-" + account,
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
-import io.undertow.client.ClientRequest;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.StatusCodes;
 import org.sassafrastrail.gate.AttemptResult;
@@ -34,7 +33,7 @@
     private final Consumer<GatewayEvent> events;
     private final CallRecorder recorder;
     private final ResponseMemory memory;
-    private final UpstreamNotices notices;
+    private final UnavailableUpstreams unavailable;
     private final Clock clock;
     private final Optional<EventStreamSplitter> splitter;
     private final CallerResponse response;
@@ -69,7 +68,7 @@
         this.events = events;
         this.recorder = recorder;
         this.memory = new ResponseMemory(upstreams.responseBuffers());
-        this.notices = upstreams.notices();
+        this.unavailable = upstreams.unavailable();
         this.clock = clock;
         this.splitter = description.route().streaming() ? Optional.of(new EventStreamSplitter()) : Optional.empty();
         this.response = new CallerResponse(exchange, () -> attempt.resume(), this::callerDisconnected);
@@ -136,22 +135,22 @@
         attempt.start();
     }
 
-    /**
-     * Builds the request when it can be sent to the upstream. Empty if the caller disconnected, the deadline has passed, or
-     * the upstream wants no more requests.
-     */
-    private Optional<ClientRequest> upstreamRequest() {
+    /** Builds the request when it can be sent to the upstream, unless something has come up since it was dispatched. */
+    private AttemptRequest upstreamRequest() {
         disconnectCheck.run();
-        if (response.isClosed() || !notices.acceptsRequests(upstream)) {
-            return Optional.empty();
+        if (response.isClosed()) {
+            return new AttemptRequest.NotWanted("the caller disconnected before the request was sent");
+        }
+        if (unavailable.contains(upstream)) {
+            return new AttemptRequest.NotWanted("the upstream asked for no more requests before this one was sent");
         }
         Duration timeLeft = Duration.between(clock.instant(), expiresAt);
         if (timeLeft.isNegative() || timeLeft.isZero()) {
-            return Optional.empty();
+            return new AttemptRequest.NotWanted("the deadline passed before the request was sent");
         }
         Optional<String> lastEventId =
                 response.hasStarted() ? splitter.flatMap(EventStreamSplitter::lastIdentifier) : Optional.empty();
-        return Optional.of(requests.build(upstream, timeLeft, lastEventId));
+        return new AttemptRequest.Ready(requests.build(upstream, timeLeft, lastEventId));
     }
 
     void cancelAttempt(int cancelled) {
@@ -168,11 +167,11 @@
     @Override
     public void noticeReceived(UpstreamNotice notice) {
         if (notice.draining()) {
-            notices.setDraining(upstream);
+            unavailable.addDraining(upstream);
             events.accept(new GatewayEvent.DrainNoticeReceived(upstream));
         }
         notice.pause().ifPresent(pause -> {
-            notices.setPause(upstream, pause);
+            unavailable.addPaused(upstream, pause);
             events.accept(new GatewayEvent.PauseRequested(upstream, pause));
         });
         if (notice.pauseInvalid()) {
@@ -289,7 +288,7 @@
         new Problem(status, type, "The request may have run; nobody can tell.", "").send(exchange);
     }
 
-    /** Ends a response that has been started before it is complete. */
+    /** Ends the exchange early, in a way that the caller does not take for the end of a complete response. */
     void abort() {
         outcome = ExchangeOutcome.BROKEN_OFF;
         response.abort();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -50,8 +50,7 @@
     private final BufferBudget responseBuffers = new BufferBudget(MAX_BUFFERED_RESPONSE_BYTES);
     private final Map<Long, CallerExchange> calls = new ConcurrentHashMap<>();
     private final OpenConnections openConnections;
-    private final Map<XnioIoThread, UpstreamConnectionPool> upstreamPools = new ConcurrentHashMap<>();
-    private final Map<XnioIoThread, UpstreamNotices> upstreamNotices = new ConcurrentHashMap<>();
+    private final Map<XnioIoThread, UpstreamResources> upstreamResources = new ConcurrentHashMap<>();
 
     CallerFrontEnd(
             CallerProtocol protocol,
@@ -170,12 +169,9 @@
                     RefusalReason.REQUEST_MEMORY_FULL);
             return;
         }
-        UpstreamConnectionPool pool = upstreamPools.computeIfAbsent(
-                exchange.getIoThread(), thread -> new UpstreamConnectionPool(thread, buffers));
-        UpstreamNotices notices =
-                upstreamNotices.computeIfAbsent(exchange.getIoThread(), thread -> new UpstreamNotices(clock));
+        UpstreamResources upstreams =
+                upstreamResources.computeIfAbsent(exchange.getIoThread(), this::createUpstreamResources);
         CallerRequest request = new CallerRequest(number, description, body);
-        UpstreamResources upstreams = new UpstreamResources(pool, responseBuffers, notices);
         CallerExchange call = new CallerExchange(exchange, request, protocol, upstreams, events, recorder, clock);
         calls.put(number, call);
         exchange.addExchangeCompleteListener((done, next) -> {
@@ -186,6 +182,11 @@
         events.accept(new GatewayEvent.CallArrived(number, description));
     }
 
+    private UpstreamResources createUpstreamResources(XnioIoThread thread) {
+        return new UpstreamResources(
+                new UpstreamConnectionPool(thread, buffers), responseBuffers, new UnavailableUpstreams(clock));
+    }
+
     int connectionCount() {
         return openConnections.count();
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerResponse.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerResponse.java
@@ -52,7 +52,7 @@
         closed = true;
     }
 
-    /** Ends the response before it is complete, in a way that the caller notices. */
+    /** Ends the response early, in a way that the caller does not take for the end of a complete one. */
     void abort() {
         ResponseFraming.abort(exchange);
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/FailureBody.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/FailureBody.java
@@ -9,6 +9,7 @@
 /** The body of a failure, which is stored in case that no later attempt succeeds. */
 final class FailureBody implements ResponseBody {
 
+    /** A larger failure is not stored, and counts as no response. */
     private static final int MAX_BYTES = 1024 * 1024;
 
     private final UpstreamResponseHead head;
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -38,6 +38,7 @@
 
     private static final Duration WRITE_TIME_OF_LAST_RESPONSES = Duration.ofMillis(200);
 
+    /** The time to close the connections of the requests that are unfinished at the end. */
     private static final Duration ABORT_TIME = Duration.ofMillis(100);
 
     private static final int BUFFER_BYTES = 16 * 1024;
--- a/gateway/src/main/java/org/sassafrastrail/gateway/LoadReportMapper.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/LoadReportMapper.java
@@ -3,8 +3,8 @@
 import java.util.stream.Collectors;
 
 import org.sassafrastrail.gate.AccountTokens;
+import org.sassafrastrail.gate.GatewayLoad;
 import org.sassafrastrail.gate.GatewayReport;
-import org.sassafrastrail.gate.PeerLoad;
 import org.sassafrastrail.gate.UpstreamIdentifier;
 import org.sassafrastrail.messages.AccountUsage;
 import org.sassafrastrail.messages.LoadReport;
@@ -38,7 +38,7 @@
                 message.loads().stream()
                         .collect(Collectors.toUnmodifiableMap(
                                 load -> new UpstreamIdentifier(load.upstream()),
-                                load -> new PeerLoad(load.running(), load.pendingPrefillTokens()),
+                                load -> new GatewayLoad(load.running(), load.pendingPrefillTokens()),
                                 (first, repeated) -> repeated)),
                 message.accounts().stream()
                         .collect(Collectors.toUnmodifiableMap(
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamNotices.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UnavailableUpstreams.java
@@ -10,16 +10,16 @@
 import org.sassafrastrail.gate.crash.UpstreamIncarnation;
 
 /**
- * The upstreams that said in a response that they want no more requests, for some time or at all. It holds back those
- * requests that the control thread dispatched before it learnt of the notice. Confined to one I/O thread.
+ * The upstreams that said in a response that they want no more requests, for some time or at all. The requests that
+ * the control thread dispatched to them before it learnt of that are held back. Confined to one I/O thread.
  */
-final class UpstreamNotices {
+final class UnavailableUpstreams {
 
     /** More than the upstreams with a notice within the time that the control thread takes to learn of it. */
     private static final int MAX_UPSTREAMS = 1024;
 
     private final Clock clock;
-    private final Map<UpstreamIncarnation, Instant> closedUntil = new LinkedHashMap<>() {
+    private final Map<UpstreamIncarnation, Instant> unavailableUntil = new LinkedHashMap<>() {
 
         private static final long serialVersionUID = 1L;
 
@@ -29,24 +29,24 @@
         }
     };
 
-    UpstreamNotices(Clock clock) {
+    UnavailableUpstreams(Clock clock) {
         this.clock = clock;
     }
 
-    void setDraining(Upstream upstream) {
-        closedUntil.put(upstream.incarnation(), Instant.MAX);
+    void addDraining(Upstream upstream) {
+        unavailableUntil.put(upstream.incarnation(), Instant.MAX);
     }
 
-    /** Sets a pause. Of several, the one that ends last holds. */
-    void setPause(Upstream upstream, Duration pause) {
-        closedUntil.merge(
+    /** Adds an upstream that asks for a pause. Of several, the one that ends last holds. */
+    void addPaused(Upstream upstream, Duration pause) {
+        unavailableUntil.merge(
                 upstream.incarnation(),
                 clock.instant().plus(pause),
                 (first, second) -> first.isAfter(second) ? first : second);
     }
 
-    boolean acceptsRequests(Upstream upstream) {
-        Instant until = closedUntil.get(upstream.incarnation());
-        return until == null || !clock.instant().isBefore(until);
+    boolean contains(Upstream upstream) {
+        Instant until = unavailableUntil.get(upstream.incarnation());
+        return until != null && clock.instant().isBefore(until);
     }
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -13,13 +13,13 @@
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientExchange;
-import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import org.sassafrastrail.gate.AttemptResult;
 import org.sassafrastrail.gate.Upstream;
+import org.sassafrastrail.http.ResponseFraming;
 import org.xnio.ChannelListeners;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -43,7 +43,7 @@
 
     private final Upstream upstream;
     private final String requestIdentifier;
-    private final Supplier<Optional<ClientRequest>> requestSupplier;
+    private final Supplier<AttemptRequest> requestSupplier;
     private final ByteBuffer body;
     private final CallerProtocol protocol;
     private final UpstreamConnectionPool connectionPool;
@@ -59,7 +59,7 @@
     UpstreamAttempt(
             Upstream upstream,
             String requestIdentifier,
-            Supplier<Optional<ClientRequest>> requestSupplier,
+            Supplier<AttemptRequest> requestSupplier,
             byte[] body,
             CallerProtocol protocol,
             UpstreamConnectionPool connectionPool,
@@ -91,16 +91,14 @@
             TransportCloser.close(opened.client());
             return;
         }
-        Optional<ClientRequest> ready = requestSupplier.get();
-        if (ready.isPresent()) {
+        AttemptRequest request = requestSupplier.get();
+        if (request instanceof AttemptRequest.Ready ready) {
             connection = opened;
             connection.readLimit().progressMade();
-            connection.client().sendRequest(ready.get(), callback(this::requestSent, this::fail));
-        } else {
+            connection.client().sendRequest(ready.head(), callback(this::requestSent, this::fail));
+        } else if (request instanceof AttemptRequest.NotWanted notWanted) {
             connectionPool.release(upstream, opened, DEFAULT_KEEP_ALIVE);
-            end(
-                    new AttemptResult.NotSent(),
-                    "no longer wanted by the caller or the upstream before the request was sent");
+            end(new AttemptResult.NotSent(), notWanted.cause());
         }
     }
 
@@ -161,7 +159,7 @@
                 protocol.callerResponseHeaders(headers),
                 kind,
                 length(headers),
-                isFramed(headers),
+                !endsWithConnection(headers),
                 facts.eventStream(),
                 protocol.readReportedLoad(headers)));
         source.getReadSetter().set(channel -> read());
@@ -252,7 +250,7 @@
         boolean closes = Optional.ofNullable(headers.getFirst(Headers.CONNECTION))
                 .filter(value -> value.toLowerCase(Locale.ROOT).contains("close"))
                 .isPresent();
-        if (closes || !isFramed(headers)) {
+        if (closes || endsWithConnection(headers)) {
             return Duration.ZERO;
         }
         return Optional.ofNullable(headers.getFirst(Headers.KEEP_ALIVE))
@@ -260,8 +258,8 @@
                 .orElse(DEFAULT_KEEP_ALIVE);
     }
 
-    private static boolean isFramed(HeaderMap headers) {
-        return headers.contains(Headers.CONTENT_LENGTH) || headers.contains(Headers.TRANSFER_ENCODING);
+    private static boolean endsWithConnection(HeaderMap headers) {
+        return ResponseFraming.bodyEnd(headers) == ResponseFraming.BodyEnd.CONNECTION_END;
     }
 
     private static Optional<Duration> timeout(String keepAlive) {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamResources.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamResources.java
@@ -5,7 +5,7 @@
  *
  * @param connectionPool the connections to upstreams
  * @param responseBuffers the memory for buffered responses
- * @param notices the upstreams that want no more requests
+ * @param unavailable the upstreams that want no more requests
  */
 record UpstreamResources(
-        UpstreamConnectionPool connectionPool, BufferBudget responseBuffers, UpstreamNotices notices) {}
+        UpstreamConnectionPool connectionPool, BufferBudget responseBuffers, UnavailableUpstreams unavailable) {}
--- a/http/src/main/java/org/sassafrastrail/http/HttpResponse.java
+++ b/http/src/main/java/org/sassafrastrail/http/HttpResponse.java
@@ -22,6 +22,13 @@
      */
     Optional<String> header(String name);
 
+    /**
+     * Returns what marks the end of the body. A body that ends with its connection may have been cut.
+     *
+     * @return the mark
+     */
+    ResponseFraming.BodyEnd bodyEnd();
+
     /**
      * Returns the body.
      *
--- a/http/src/main/java/org/sassafrastrail/http/ResponseFraming.java
+++ b/http/src/main/java/org/sassafrastrail/http/ResponseFraming.java
@@ -61,7 +61,8 @@
 
     /**
      * Closes the connection of a response that is not complete. Where only the end of the connection would mark the end of
-     * the body, the connection is reset.
+     * the body, the connection is reset. Before the response has begun it is not, because a reset may discard what was written
+     * of an earlier response on the same connection.
      *
      * @param exchange the exchange
      */
--- a/http/src/main/java/org/sassafrastrail/http/UndertowHttpResponse.java
+++ b/http/src/main/java/org/sassafrastrail/http/UndertowHttpResponse.java
@@ -34,6 +34,11 @@
         return Optional.ofNullable(exchange.getResponse().getResponseHeaders().getFirst(name));
     }
 
+    @Override
+    public ResponseFraming.BodyEnd bodyEnd() {
+        return ResponseFraming.bodyEnd(exchange.getResponse().getResponseHeaders());
+    }
+
     @Override
     public InputStream body() {
         return body;
