Log with each refusal how its account stood over the fleet

No decision changes. Result: GatewayCoreTest passes; the two tests that compare whole refusals compare the standing too.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/AccountShares.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AccountShares.java
@@ -103,7 +103,8 @@
         return new AccountShares(local, remote, reports, MaxMinLevel.of(demands, total));
     }
 
-    private DecayingTokens fleetTokens(String account, Instant now) {
+    /** Returns the tokens of an account over the fleet. */
+    DecayingTokens fleetTokens(String account, Instant now) {
         return local.tokens(account, now).plus(remote.tokens(account, now));
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
@@ -156,7 +156,8 @@
                         reason,
                         retryAfter(state, call, reason, now),
                         Duration.between(call.queuedSince(), now),
-                        scheduler.capacitySnapshot(state, call, now));
+                        scheduler.capacitySnapshot(state, call, now),
+                        scheduler.accountStanding(state, call, now));
     }
 
     private Duration retryAfter(GatewayState state, Call call, RefusalReason reason, Instant now) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
@@ -51,9 +51,15 @@
      * @param retryAfter the delay after which the caller should retry
      * @param queueingTime the time since the request arrived or its last attempt ended
      * @param capacity the upstream capacity on which the decision was based
+     * @param account the standing of the request's client account
      */
     record Refuse(
-            long call, RefusalReason reason, Duration retryAfter, Duration queueingTime, CapacitySnapshot capacity)
+            long call,
+            RefusalReason reason,
+            Duration retryAfter,
+            Duration queueingTime,
+            CapacitySnapshot capacity,
+            AccountStanding account)
             implements GatewayAction {}
 
     /**
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -119,6 +119,16 @@
                 state.peers().connectedGateways());
     }
 
+    /** Returns how the account of a request stands, for the log. */
+    AccountStanding accountStanding(GatewayState state, Call call, Instant now) {
+        DecayingTokens tokens = state.shares().fleetTokens(SchedulingOrder.account(call), now);
+        return new AccountStanding(
+                Math.round(tokens.requested()),
+                Math.round(tokens.served()),
+                state.shares().level(),
+                capacityShare(state, tokens.served()));
+    }
+
     /** The upstreams of a target that are eligible for dispatch now. */
     private record Candidates(List<Placement.Candidate> upstreams) {
 
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
@@ -24,6 +24,8 @@
     private static final Route IDEMPOTENT_ROUTE = GatewayDriver.route("list", GatewayDriver.SERVICE, true, false, 2);
     private static final Route MODEL_ROUTE = GatewayDriver.route("tell", GatewayDriver.MODEL, false, true, 1);
 
+    private static final AccountStanding NO_TOKENS = new AccountStanding(0, 0, Double.POSITIVE_INFINITY, 1);
+
     private final GatewayDriver gateway = new GatewayDriver();
 
     private void registerServices() {
@@ -258,7 +260,8 @@
                         RefusalReason.UPSTREAM_DECLINED,
                         GatewayDriver.LIMITS.retryAfter(),
                         Duration.ZERO,
-                        new CapacitySnapshot(1, 1, 0, 1, 1)));
+                        new CapacitySnapshot(1, 1, 0, 1, 1),
+                        NO_TOKENS));
     }
 
     @Test
@@ -310,7 +313,8 @@
                         RefusalReason.HELD_TOO_LONG,
                         GatewayDriver.LIMITS.retryAfter(),
                         Duration.ofMillis(210),
-                        new CapacitySnapshot(0, 0, 0, 1, 1)));
+                        new CapacitySnapshot(0, 0, 0, 1, 1),
+                        NO_TOKENS));
     }
 
     @Test
--- a/gateway/src/main/java/org/sassafrastrail/gateway/ActivityLog.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/ActivityLog.java
@@ -65,7 +65,7 @@
         rows.forEach(this::logAccount);
     }
 
-    private static String formatLevel(double tokens) {
+    static String formatLevel(double tokens) {
         return Double.isInfinite(tokens) ? "none" : Long.toString(Math.round(tokens));
     }
 
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
@@ -111,7 +111,11 @@
                 LogField.of("with-room", refuse.capacity().withHeadroom()),
                 LogField.of("least-tokens-ahead", refuse.capacity().minPendingPrefillTokens()),
                 LogField.of("gateways", refuse.capacity().gateways()),
-                LogField.of("heard", refuse.capacity().connectedGateways()));
+                LogField.of("heard", refuse.capacity().connectedGateways()),
+                LogField.of("account-asked", refuse.account().requested()),
+                LogField.of("account-sent", refuse.account().served()),
+                LogField.of("level", ActivityLog.formatLevel(refuse.account().level())),
+                LogField.of("share", formatShare(refuse.account().capacityShare())));
         onCall(
                 refuse.call(),
                 call -> call.refuse(
@@ -122,6 +126,10 @@
                         refuse.retryAfter()));
     }
 
+    private static String formatShare(double share) {
+        return String.format(Locale.ROOT, "%.2f", share);
+    }
+
     private void recordUpstreamStatus(GatewayAction.ReportUpstreamStatus report) {
         metrics.count("upstream", report.status());
         log.info(
