Let the callers of the simulated fleet stay with their gateways

Change: a retry goes to the same gateway; gateways can restart, lose their links, or learn of each other late, and callers of one that is down go to the next. The prompts get a class of their own, for the fleet had grown.

--- a/gate-core/src/test/java/org/sassafrastrail/gate/CrashingPromptPartTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/CrashingPromptPartTest.java
@@ -64,7 +64,7 @@
                         NEVER,
                         NEVER,
                         1)));
-        fleet.addDeadlyPart(new SimulatedFleet.DeadlyPart(FROM, UNTIL, SHARE, companions));
+        fleet.addDeadlyPart(new SimulatedPrompts.DeadlyPart(FROM, UNTIL, SHARE, companions));
         fleet.runUntil(SECONDS);
         List<Double> crashes = fleet.crashes();
         double fifth = crashes.get(Math.min(KNOWN_AFTER_CRASHES, crashes.size()) - 1);
@@ -80,7 +80,7 @@
     /** Returns the share of first attempts with a first part in common with deadly requests whose response starts. */
     private static double servedShare(SimulatedFleet fleet, double from, double until) {
         Predicate<SimulatedFleet.Request> sound =
-                request -> !SimulatedFleet.isDeadly(request.prompt()) && request.refusals() == 0;
+                request -> !SimulatedPrompts.isDeadly(request.prompt()) && request.refusals() == 0;
         return fleet.requests().stream()
                 .filter(sound)
                 .filter(request -> request.prompt().parts().get(0).identifier().startsWith("report-system-0"))
--- a/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedFleet.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedFleet.java
@@ -6,24 +6,26 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.IntStream;
 
 import org.pcollections.HashTreePMap;
 import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
 import org.pcollections.PSet;
-import org.pcollections.TreePVector;
 import org.sassafrastrail.decision.Transition;
 import org.sassafrastrail.model.AccountName;
 
 /**
- * Simulates gateways in front of engines in virtual time. Links have a latency of one millisecond, and refused callers
- * retry once. A run is determined by its seed.
+ * Simulates gateways in front of engines in virtual time. Refused callers retry once, at the gateway that they are connected
+ * to, and callers of a gateway that is down connect to the next one. A run is determined by its seed.
  */
 final class SimulatedFleet {
 
@@ -36,6 +38,8 @@
     private static final double REMOVAL_MILLISECONDS = 2000;
     private static final double RESTART_MILLISECONDS = 3300;
     private static final double POLL_MILLISECONDS = 1000;
+    private static final double MILLISECONDS = 1000;
+    private static final Duration QUOTA_WINDOW = Duration.ofSeconds(4);
     private static final Duration CALLER_TIMEOUT = Duration.ofSeconds(4);
 
     /** The total capacity of the engines with the cache hit rate of this simulation. */
@@ -84,27 +88,11 @@
         }
     }
 
-    /**
-     * A prompt part under which each engine crashes that starts a response to it.
-     *
-     * @param from when requests with it begin to come, in seconds
-     * @param until when they stop
-     * @param share the share of the requests that have it
-     * @param companions the number of sessions whose part stands beside it in turn
-     */
-    record DeadlyPart(double from, double until, double share, int companions) {
-
-        static final String IDENTIFIER = "deadly";
-
-        boolean isUsed(double second) {
-            return second >= from && second < until;
-        }
-    }
-
     /** An action at a virtual time; the sequence number orders events of the same time. */
     private record ScheduledEvent(double at, long sequence, Runnable action) {}
 
     private final Random random;
+    private final SimulatedPrompts prompts;
     private final PriorityQueue<ScheduledEvent> schedule = new PriorityQueue<>(
             Comparator.comparingDouble(ScheduledEvent::at).thenComparingLong(ScheduledEvent::sequence));
     private final List<GatewayState> states = new ArrayList<>();
@@ -115,7 +103,9 @@
     private final GatewayCore core;
     private final Route route = GatewayDriver.route("tell", GatewayDriver.MODEL, false, true, 1, CALLER_TIMEOUT);
     private PMap<UpstreamIdentifier, Upstream> registered = HashTreePMap.empty();
-    private Optional<DeadlyPart> deadlyPart = Optional.empty();
+    private final Set<Integer> down = new HashSet<>();
+    private final Set<Integer> unlinked = new HashSet<>();
+    private double reportMilliseconds = LINK_MILLISECONDS;
     private double now;
     private long sequence;
     private long nextNumber;
@@ -123,21 +113,72 @@
     SimulatedFleet(GatewayLimits limits, int gateways, int engineCount, long seed) {
         this.core = new GatewayCore(limits);
         this.random = new Random(seed);
+        this.prompts = new SimulatedPrompts(random);
         IntStream.range(0, engineCount).forEach(number -> startEngine("engine-" + number));
-        for (int gateway = 0; gateway < gateways; gateway++) {
-            states.add(GatewayState.start("gateway-" + gateway, Duration.ofSeconds(4)));
-        }
+        IntStream.range(0, gateways).forEach(gateway -> states.add(startState(gateway)));
         IntStream.range(0, gateways).forEach(gateway -> {
-            handle(gateway, new GatewayEvent.ConfigurationReceived(GatewayDriver.configuration(1, TOKENS_PER_SECOND)));
-            handle(gateway, new GatewayEvent.UpstreamsChanged(registered));
-            handle(gateway, new GatewayEvent.GatewaysChanged(names(gateways)));
-            IntStream.range(0, gateways)
-                    .filter(peer -> peer != gateway)
-                    .forEach(peer -> handle(gateway, new GatewayEvent.PeerConnected("gateway-" + peer)));
+            learnCluster(gateway);
+            peersOf(gateway).forEach(peer -> handle(gateway, new GatewayEvent.PeerConnected(name(peer))));
             schedule(random.nextDouble() * TICK_MILLISECONDS, () -> tick(gateway));
         });
     }
 
+    private static GatewayState startState(int gateway) {
+        return GatewayState.start(name(gateway), QUOTA_WINDOW);
+    }
+
+    private void learnCluster(int gateway) {
+        handle(gateway, new GatewayEvent.ConfigurationReceived(GatewayDriver.configuration(1, TOKENS_PER_SECOND)));
+        handle(gateway, new GatewayEvent.UpstreamsChanged(registered));
+        handle(gateway, new GatewayEvent.GatewaysChanged(names(states.size())));
+    }
+
+    /** Sets the time that reports between gateways take from now on. */
+    void setReportDelay(double milliseconds) {
+        reportMilliseconds = milliseconds;
+    }
+
+    /** Cuts the links of a gateway to all others for a while; callers and engines still reach it. */
+    void cutLinks(int gateway, double fromSecond, double untilSecond) {
+        schedule(fromSecond * MILLISECONDS, () -> {
+            unlinked.add(gateway);
+            peersOf(gateway).forEach(peer -> setLinked(gateway, peer, GatewayEvent.PeerDisconnected::new));
+        });
+        schedule(untilSecond * MILLISECONDS, () -> link(gateway));
+    }
+
+    /** Kills a gateway and starts it again. What it was working on is lost. */
+    void restart(int gateway, double fromSecond, double untilSecond) {
+        schedule(fromSecond * MILLISECONDS, () -> {
+            down.add(gateway);
+            states.set(gateway, startState(gateway));
+        });
+        schedule(untilSecond * MILLISECONDS, () -> {
+            down.remove(gateway);
+            learnCluster(gateway);
+        });
+        cutLinks(gateway, fromSecond, untilSecond);
+    }
+
+    private void link(int gateway) {
+        unlinked.remove(gateway);
+        peersOf(gateway).forEach(peer -> setLinked(gateway, peer, GatewayEvent.PeerConnected::new));
+    }
+
+    private void setLinked(int one, int other, Function<String, GatewayEvent> event) {
+        handle(one, event.apply(name(other)));
+        handle(other, event.apply(name(one)));
+    }
+
+    /** Returns the gateways that a gateway has links to. */
+    private IntStream peersOf(int gateway) {
+        return IntStream.range(0, states.size()).filter(peer -> peer != gateway);
+    }
+
+    private static String name(int gateway) {
+        return "gateway-" + gateway;
+    }
+
     private void startEngine(String name) {
         Upstream engine = GatewayDriver.upstream(name, GatewayDriver.MODEL, SLOTS);
         registered = registered.plus(engine.identifier(), engine);
@@ -145,14 +186,13 @@
     }
 
     /** Lets a share of the requests have a part under which engines crash. */
-    void addDeadlyPart(DeadlyPart part) {
-        deadlyPart = Optional.of(part);
+    void addDeadlyPart(SimulatedPrompts.DeadlyPart part) {
+        prompts.addDeadlyPart(part);
     }
 
     private static PSet<String> names(int gateways) {
-        return HashTreePSet.from(IntStream.range(0, gateways)
-                .mapToObj(number -> "gateway-" + number)
-                .toList());
+        return HashTreePSet.from(
+                IntStream.range(0, gateways).mapToObj(SimulatedFleet::name).toList());
     }
 
     private void schedule(double time, Runnable action) {
@@ -170,73 +210,30 @@
     }
 
     private void scheduleNext(Account account) {
-        double rate = account.perSecond(now / 1000);
-        double wait = rate <= 0 ? 100 : -Math.log(1 - random.nextDouble()) * 1000 / rate;
+        double rate = account.perSecond(now / MILLISECONDS);
+        double wait = rate <= 0 ? 100 : -Math.log(1 - random.nextDouble()) * MILLISECONDS / rate;
         schedule(now + wait, () -> {
-            if (account.perSecond(now / 1000) > 0) {
+            if (account.perSecond(now / MILLISECONDS) > 0) {
                 int gateway =
                         account.gateways().get(random.nextInt(account.gateways().size()));
-                arrive(gateway, new Request(account.name(), prompt(account), now, 0, Double.POSITIVE_INFINITY));
+                arrive(
+                        gateway,
+                        new Request(
+                                account.name(),
+                                prompts.prompt(account, now / MILLISECONDS),
+                                now,
+                                0,
+                                Double.POSITIVE_INFINITY));
             }
             scheduleNext(account);
         });
     }
 
-    /** Creates a prompt with one of a few shared system parts, a session's part and the request's own part. */
-    private Prompt prompt(Account account) {
-        Optional<DeadlyPart> deadly = deadlyPart.filter(part -> part.isUsed(now / 1000));
-        if (deadly.isPresent() && random.nextDouble() < deadly.get().share()) {
-            return deadlyPrompt(deadly.get());
-        }
-        double kind = random.nextDouble();
-        if (kind < 0.385) {
-            return prompt("report", 4, 2520, 3780, session(account, 650), ownTokens(2890, 39_600), 56);
-        }
-        return kind < 0.835
-                ? prompt("rule", 40, 341, 227, session(account, 1150), ownTokens(1800, 6870), 24)
-                : prompt("cab", 40, 103, 69, session(account, 410), ownTokens(543, 2310), 280);
-    }
-
-    /** Creates a prompt with the deadly part between parts that sound prompts have too. */
-    private Prompt deadlyPrompt(DeadlyPart deadly) {
-        int companion = random.nextInt(deadly.companions());
-        return new Prompt(
-                TreePVector.singleton(new PromptPart("report-system-" + companion % 4, 2520))
-                        .plus(new PromptPart(DeadlyPart.IDENTIFIER, 1000))
-                        .plus(new PromptPart("report-companion-" + companion, 3780)),
-                7300 + ownTokens(2890, 39_600),
-                56);
-    }
-
-    static boolean isDeadly(Prompt prompt) {
-        return prompt.parts().stream().anyMatch(part -> part.identifier().equals(DeadlyPart.IDENTIFIER));
-    }
-
-    /** Picks one of the account's sessions. The sessions of a day are divided among the accounts by their rates. */
-    private String session(Account account, int sessions) {
-        int accountSessions = (int) Math.max(3, sessions * account.perSecond() / 830);
-        return account.name() + "-" + random.nextInt(accountSessions);
-    }
-
-    private int ownTokens(double mean, int maximum) {
-        return (int) Math.min(maximum, Math.max(50, mean * Math.exp(random.nextGaussian() * 0.83 - 0.35)));
-    }
-
-    private Prompt prompt(
-            String kind,
-            int systems,
-            int systemTokens,
-            int sessionTokens,
-            String session,
-            int ownTokens,
-            int outputTokens) {
-        PromptPart system = new PromptPart(kind + "-system-" + random.nextInt(systems), systemTokens);
-        PromptPart part = new PromptPart(kind + "-" + session, sessionTokens);
-        return new Prompt(
-                TreePVector.singleton(system).plus(part), systemTokens + sessionTokens + ownTokens, outputTokens);
-    }
-
-    private void arrive(int gateway, Request request) {
+    private void arrive(int connectedTo, Request request) {
+        int gateway = IntStream.iterate(connectedTo, other -> (other + 1) % states.size())
+                .filter(other -> !down.contains(other))
+                .findFirst()
+                .orElseThrow();
         long number = nextNumber++;
         requests.put(number, request);
         Instant instant = instant();
@@ -258,6 +255,9 @@
     }
 
     private void handle(int gateway, GatewayEvent event) {
+        if (down.contains(gateway)) {
+            return;
+        }
         Transition<GatewayState, GatewayAction> transition = core.handle(states.get(gateway), event, instant());
         states.set(gateway, transition.state());
         transition.actions().forEach(action -> carryOut(gateway, action));
@@ -269,25 +269,23 @@
         } else if (action instanceof GatewayAction.Refuse refuse) {
             Request request = requests.get(refuse.call());
             if (request.refusals() < RETRIES) {
-                int other = random.nextInt(states.size());
-                schedule(now + RETRY_DELAY_MILLISECONDS, () -> arrive(other, request.retriedAt(now)));
+                schedule(now + RETRY_DELAY_MILLISECONDS, () -> arrive(gateway, request.retriedAt(now)));
             }
         } else if (action instanceof GatewayAction.CancelAttempt cancel) {
             engines.values()
                     .forEach(engine -> engine.end(new SimulatedEngine.Run(gateway, cancel.call(), cancel.attempt())));
         } else if (action instanceof GatewayAction.ShareCrashes share) {
-            IntStream.range(0, states.size())
-                    .filter(peer -> peer != gateway)
-                    .forEach(peer -> schedule(
-                            now + LINK_MILLISECONDS,
-                            () -> handle(peer, new GatewayEvent.PeerCrashesReceived(share.crashes()))));
+            tellPeers(gateway, LINK_MILLISECONDS, new GatewayEvent.PeerCrashesReceived(share.crashes()));
         } else if (action instanceof GatewayAction.SendReport send) {
-            IntStream.range(0, states.size())
-                    .filter(peer -> peer != gateway)
-                    .forEach(peer -> schedule(
-                            now + LINK_MILLISECONDS,
-                            () -> handle(
-                                    peer, new GatewayEvent.PeerReportReceived("gateway-" + gateway, send.report()))));
+            tellPeers(gateway, reportMilliseconds, new GatewayEvent.PeerReportReceived(name(gateway), send.report()));
+        }
+    }
+
+    private void tellPeers(int gateway, double milliseconds, GatewayEvent event) {
+        if (!unlinked.contains(gateway)) {
+            peersOf(gateway)
+                    .filter(peer -> !unlinked.contains(peer))
+                    .forEach(peer -> schedule(now + milliseconds, () -> handle(peer, event)));
         }
     }
 
@@ -299,8 +297,8 @@
             return;
         }
         Prompt prompt = requests.get(dispatch.call()).prompt();
-        if (isDeadly(prompt)) {
-            deadlyRuns.add(now / 1000);
+        if (SimulatedPrompts.isDeadly(prompt)) {
+            deadlyRuns.add(now / MILLISECONDS);
         }
         double start = engine.prefill(now, prompt, "own-" + dispatch.call());
         engine.begin(run);
@@ -311,7 +309,7 @@
         if (!engine.isRunning(run)) {
             return;
         }
-        if (isDeadly(requests.get(run.call()).prompt())) {
+        if (SimulatedPrompts.isDeadly(requests.get(run.call()).prompt())) {
             crash(engine, upstream);
             return;
         }
@@ -331,7 +329,7 @@
 
     /** Ends all runs of an engine, whose address refuses connections until another incarnation of it registers. */
     private void crash(SimulatedEngine engine, Upstream upstream) {
-        crashes.add(now / 1000);
+        crashes.add(now / MILLISECONDS);
         engine.crash()
                 .forEach((run, started) -> schedule(
                         now + LINK_MILLISECONDS,
@@ -355,7 +353,7 @@
 
     /** Runs all events before a virtual time. */
     void runUntil(double seconds) {
-        while (!schedule.isEmpty() && schedule.peek().at() < seconds * 1000) {
+        while (!schedule.isEmpty() && schedule.peek().at() < seconds * MILLISECONDS) {
             ScheduledEvent next = schedule.poll();
             now = next.at();
             next.action().run();
