Correct what each account may use of the upstreams by what it is served of its share (FAIR)

Cause: room at engines is raced for, and an account at n gateways has n tries at each bit that comes free. The control against it was proportional and weak: up to 1.25 times the level nothing, beyond it 0.4 of the room at least, and its level divided no more than the configured capacity, so that the account that was behind counted as above it too. Class: a proportional control with a floor, which settles at whatever offset the race needs, here 2 to 1 and more, the very bound of the users' rule. Change: ShareCorrections, a proportional-integral controller for each account on the logarithm of what it is served over what it is owed, by the level of what is served; from a tenth to twice the room. The integral part grows until the offset is gone, so it needs no model of the race; it fades without excess. The bound by the configured capacity stays as a factor of its own.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -120,7 +120,7 @@
      * @return the level in exponentially decaying tokens, infinite while all accounts are served what they request
      */
     public double fairShareLevel() {
-        return shares().level();
+        return shares().levels().ofServed();
     }
 
     /**
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
@@ -45,7 +45,7 @@
      * How much of the upstreams' capacity a request may use.
      *
      * @param loadFactor the factor by which known load is scaled up to account for gateways that are not connected
-     * @param share the share of the maximum prefill wait that the request may use, 1 for all of it
+     * @param share the share of the maximum prefill wait that the request may use, above 1 for an account that is behind
      */
     record CapacityAllowance(double loadFactor, double share) {}
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -61,7 +61,8 @@
         return SchedulingOrder.of(state, target, now)
                 .limit(limits.schedulingLookahead())
                 .flatMap(queued ->
-                        dispatch(state, queued.call(), candidates, capacityShare(state, queued.served()), now).stream())
+                        dispatch(state, queued.call(), candidates, capacityShare(state, queued.call(), now), now)
+                                .stream())
                 .findFirst();
     }
 
@@ -70,18 +71,12 @@
      * reconsidered, because an arrival does not change their chances.
      */
     Transition<GatewayState, GatewayAction> dispatchOnArrival(GatewayState state, Call call, Instant now) {
-        double share = capacityShare(state, state.shares().servedTokens(SchedulingOrder.account(call), now));
-        return dispatch(state, call, candidates(state, call.target(), now), share, now)
+        return dispatch(state, call, candidates(state, call.target(), now), capacityShare(state, call, now), now)
                 .orElseGet(() -> Transition.to(state));
     }
 
-    /**
-     * Returns the share of upstream capacity that an account may use. Above its fair share the account gets less the
-     * further it exceeds it, which leaves capacity for the other accounts.
-     */
-    private double capacityShare(GatewayState state, double served) {
-        double ratioToFairShare = state.shares().ratioToFairShare(served);
-        return ratioToFairShare <= 1 ? FULL_SHARE : Math.max(limits.minCapacityShare(), 1 / ratioToFairShare);
+    private double capacityShare(GatewayState state, Call call, Instant now) {
+        return state.shares().capacityShare(SchedulingOrder.account(call), limits.minCapacityShare(), now);
     }
 
     private Optional<Transition<GatewayState, GatewayAction>> dispatch(
@@ -125,8 +120,8 @@
         return new AccountStanding(
                 Math.round(tokens.requested()),
                 Math.round(tokens.served()),
-                state.shares().level(),
-                capacityShare(state, tokens.served()));
+                state.shares().levels().ofServed(),
+                capacityShare(state, call, now));
     }
 
     /** The upstreams of a target that are eligible for dispatch now. */
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
@@ -29,7 +29,7 @@
     }
 
     Transition<GatewayState, GatewayAction> ticked(GatewayState state, GatewayEvent.Ticked event, Instant now) {
-        GatewayState updated = state.with(state.shares().withUpdatedLevel(configuredCapacity(state), now))
+        GatewayState updated = state.with(state.shares().withUpdatedLevels(configuredCapacity(state), now))
                 .with(state.drainNotices().withoutExpired(now))
                 .with(state.pauses().withoutEnded(now));
         return crashes.attribute(updated, now)
