--- a/gate-core/src/main/java/org/sassafrastrail/gate/AccountShares.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AccountShares.java
@@ -152,7 +152,8 @@
      * Returns the share of upstream capacity that an account may use.
      *
      * @param account the account
-     * @param minShare the share that an account may use however far it is beyond its part of the configured capacity
+     * @param minShare the share that an account may use however far it is beyond its part of the configured capacity,
+     *     before its correction
      * @param now the time
      * @return the share, above 1 for an account that is served less than it is owed
      */
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayLimits.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayLimits.java
@@ -9,7 +9,7 @@
  * @param maxPrefillWaitShare the maximum estimated wait for other prompts' prefill at an engine, as a share of the
  *     request's latency target
  * @param minCapacityShare the share of that wait that an account may use, however far it is beyond its part of the
- *     configured capacity
+ *     configured capacity, before the correction that leads it to its fair share
  * @param schedulingLookahead the number of queued requests that are examined for one that can be dispatched
  * @param maxQueueingShare the maximum queueing time before a request is refused, as a share of its latency target
  * @param retryAfter the retry delay that refused callers are given
--- a/gate-core/src/main/java/org/sassafrastrail/gate/ShareCorrections.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/ShareCorrections.java
@@ -19,6 +19,8 @@
 
     private static final double PROPORTIONAL_GAIN = 1;
     private static final double INTEGRAL_GAIN_PER_SECOND = 3;
+
+    /** Lets a correction end that is no longer needed. It leaves a small excess that corrections do not remove. */
     private static final double FADING_PER_SECOND = 0.2;
 
     private static final double MIN_FACTOR = 0.1;
