--- a/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
@@ -1,6 +1,7 @@
 package org.sassafrastrail.gate;
 
 import java.time.Instant;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -35,17 +36,18 @@
 
     Transition<GatewayState, GatewayAction> upstreamsChanged(
             GatewayState state, GatewayEvent.UpstreamsChanged event, Instant now) {
-        Transition<GatewayState, GatewayAction> unregistered = Transition.<GatewayState, GatewayAction>to(state)
+        Transition<GatewayState, GatewayAction> unregistered = Transition.<GatewayState, GatewayAction>to(
+                        state.with(state.entryHistory().withoutExpired(now)))
                 .forEach(
                         state.upstreams().values().stream()
                                 .filter(UpstreamState::registered)
                                 .filter(known -> !event.upstreams()
                                         .containsKey(known.upstream().identifier())),
-                        (next, known) -> Transition.<GatewayState, GatewayAction>to(next.with(known.unregistered()))
+                        (next, known) -> Transition.<GatewayState, GatewayAction>to(unregister(next, known, now))
                                 .then(statusReport(known.upstream(), UpstreamStatus.GONE)));
         return unregistered
                 .and(next -> Transition.to(CrashHandler.unregistered(next, ended(state, event))))
-                .forEach(event.upstreams().values().stream(), (next, entry) -> register(next, entry, now))
+                .forEach(event.upstreams().values().stream(), (next, entry) -> registerUnlessOutdated(next, entry, now))
                 .and(next -> scheduler.dispatchAll(next, now));
     }
 
@@ -59,6 +61,37 @@
                 .map(Upstream::incarnation);
     }
 
+    private static GatewayState unregister(GatewayState state, UpstreamState known, Instant now) {
+        return state.with(known.unregistered())
+                .with(state.entryHistory().withLeft(known.upstream().identifier(), now));
+    }
+
+    private Transition<GatewayState, GatewayAction> registerUnlessOutdated(
+            GatewayState state, Upstream entry, Instant now) {
+        Optional<Upstream> current = state.entryHistory().current(entry);
+        if (current.isEmpty()) {
+            return outdated(state, entry);
+        }
+        GatewayState recorded = state.with(state.entryHistory().with(current.get()));
+        return register(withDrainNotice(recorded, current.get(), now), current.get(), now);
+    }
+
+    /** Leaves an outdated entry aside, and reports it the first time. */
+    private static Transition<GatewayState, GatewayAction> outdated(GatewayState state, Upstream entry) {
+        Transition<GatewayState, GatewayAction> next =
+                Transition.to(state.with(state.entryHistory().withOutdated(entry)));
+        return state.entryHistory().isKnownOutdated(entry)
+                ? Transition.to(state)
+                : next.then(statusReport(entry, UpstreamStatus.ENTRY_OUTDATED));
+    }
+
+    /** Remembers a draining upstream for peers that have not seen its entry. Without its start, they could take it for another. */
+    private static GatewayState withDrainNotice(GatewayState state, Upstream entry, Instant now) {
+        return entry.draining() && entry.hasKnownStart()
+                ? state.with(state.drainNotices().mergedWith(Map.of(entry.incarnation(), now)))
+                : state;
+    }
+
     private Transition<GatewayState, GatewayAction> register(GatewayState state, Upstream entry, Instant now) {
         Optional<UpstreamState> known = Optional.ofNullable(state.upstreams().get(entry.identifier()))
                 .filter(present -> present.upstream().isSameIncarnation(entry));
@@ -83,7 +116,8 @@
                 status,
                 upstream.target() + " " + upstream.version() + " at " + upstream.host() + ":" + upstream.port() + " in "
                         + upstream.domain() + ", cold for "
-                        + upstream.coldRemaining().toMillis() + " ms");
+                        + upstream.coldRemaining().toMillis() + " ms, entry " + upstream.entryNumber() + " since "
+                        + upstream.startedAtMillis());
     }
 
     Transition<GatewayState, GatewayAction> domainsOutChanged(
--- a/gate-core/src/main/java/org/sassafrastrail/gate/ClusterView.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/ClusterView.java
@@ -13,17 +13,20 @@
  *
  * @param configuration the configuration in force, empty until the first one is received
  * @param upstreams the upstreams that are registered or still run requests
+ * @param entryHistory the newest entries of the registry
  * @param domainsOut the failure domains that are out of service
  */
 record ClusterView(
         Optional<GatewayConfiguration> configuration,
         PMap<UpstreamIdentifier, UpstreamState> upstreams,
+        EntryHistory entryHistory,
         PSet<FailureDomainName> domainsOut) {
 
-    static final ClusterView EMPTY = new ClusterView(Optional.empty(), HashTreePMap.empty(), HashTreePSet.empty());
+    static final ClusterView EMPTY =
+            new ClusterView(Optional.empty(), HashTreePMap.empty(), EntryHistory.EMPTY, HashTreePSet.empty());
 
     ClusterView with(GatewayConfiguration next) {
-        return new ClusterView(Optional.of(next), upstreams, domainsOut);
+        return new ClusterView(Optional.of(next), upstreams, entryHistory, domainsOut);
     }
 
     /** Replaces the state of an upstream, and drops one that is no longer registered and runs no requests. */
@@ -32,10 +35,15 @@
         return new ClusterView(
                 configuration,
                 next.isUnused() ? upstreams.minus(identifier) : upstreams.plus(identifier, next),
+                entryHistory,
                 domainsOut);
     }
 
     ClusterView withDomainsOut(PSet<FailureDomainName> next) {
-        return new ClusterView(configuration, upstreams, next);
+        return new ClusterView(configuration, upstreams, entryHistory, next);
+    }
+
+    ClusterView with(EntryHistory next) {
+        return new ClusterView(configuration, upstreams, next, domainsOut);
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/DrainNoticeHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/DrainNoticeHandler.java
@@ -9,7 +9,7 @@
 import org.sassafrastrail.decision.Transition;
 import org.sassafrastrail.gate.crash.UpstreamIncarnation;
 
-/** Handles upstreams that say in a response that they are draining, and shares this with the peers. */
+/** Handles upstreams that are known to drain though the registry may say otherwise, and shares this with the peers. */
 final class DrainNoticeHandler {
 
     Transition<GatewayState, GatewayAction> noticeReceived(
@@ -21,7 +21,7 @@
         return known ? next : next.then(statusReport(event.upstream(), "said so in a response to this gateway"));
     }
 
-    /** Applies the notices of a peer that name upstreams known here and are not too old. */
+    /** Applies the notices of a peer that are not too old, also on upstreams that the registry has not shown here yet. */
     Transition<GatewayState, GatewayAction> peerNoticesReceived(
             GatewayState state, GatewayEvent.PeerDrainNoticesReceived event, Instant now) {
         Map<UpstreamIncarnation, Instant> reported = event.reports().stream()
@@ -33,13 +33,10 @@
                 .map(UpstreamState::upstream)
                 .filter(upstream -> reported.containsKey(upstream.incarnation()))
                 .toList();
-        Map<UpstreamIncarnation, Instant> known = applied.stream()
-                .map(Upstream::incarnation)
-                .collect(Collectors.toUnmodifiableMap(upstream -> upstream, reported::get));
         return Transition.<GatewayState, GatewayAction>to(
-                        state.with(state.drainNotices().mergedWith(known)))
+                        state.with(state.drainNotices().mergedWith(reported)))
                 .thenAll(applied.stream()
-                        .map(upstream -> statusReport(upstream, "said so in a response to another gateway"))
+                        .map(upstream -> statusReport(upstream, "another gateway knows"))
                         .toList());
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/DrainNotices.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/DrainNotices.java
@@ -13,8 +13,8 @@
 import org.sassafrastrail.gate.crash.UpstreamIncarnation;
 
 /**
- * The upstreams that said in a response that they are draining. A notice ends with the process of the upstream, so no entry
- * of the registry takes it back.
+ * The upstreams that said in a response or in their entry that they are draining. A notice ends with the process of the
+ * upstream, so no entry of the registry takes it back.
  *
  * @param heardAt when the last notice of each upstream was heard
  * @param unshared the upstreams of which the peers have not been told
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -85,6 +85,10 @@
         return cluster.upstreams();
     }
 
+    EntryHistory entryHistory() {
+        return cluster.entryHistory();
+    }
+
     PSet<FailureDomainName> domainsOut() {
         return cluster.domainsOut();
     }
@@ -166,6 +170,10 @@
         return with(cluster.with(next));
     }
 
+    GatewayState with(EntryHistory next) {
+        return next == cluster.entryHistory() ? this : with(cluster.with(next));
+    }
+
     GatewayState withDomainsOut(PSet<FailureDomainName> next) {
         return with(cluster.withDomainsOut(next));
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Upstream.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Upstream.java
@@ -20,6 +20,7 @@
  * @param coldRemaining how much longer it stays cold, from the time of the entry
  * @param startedAtMillis its start in wall-clock milliseconds, which distinguishes incarnations with the same
  *     identifier; 0 if unknown
+ * @param entryNumber the number of the entry, which the upstream counts from its start; 0 if unknown
  */
 public record Upstream(
         UpstreamIdentifier identifier,
@@ -31,7 +32,8 @@
         int slots,
         boolean draining,
         Duration coldRemaining,
-        long startedAtMillis) {
+        long startedAtMillis,
+        long entryNumber) {
 
     /**
      * Returns which process of the upstream the entry is of.
@@ -42,6 +44,32 @@
         return new UpstreamIncarnation(identifier.value(), startedAtMillis);
     }
 
+    /** Returns whether the entry says when the process started, so that a later one can be told from it. */
+    boolean hasKnownStart() {
+        return startedAtMillis > 0;
+    }
+
+    /** Returns whether the process numbered the other entry after this one. */
+    boolean isNumberedBefore(Upstream other) {
+        return entryNumber > 0 && other.entryNumber > entryNumber;
+    }
+
+    /** Returns the same entry of an upstream that drains. */
+    Upstream asDraining() {
+        return new Upstream(
+                identifier,
+                target,
+                host,
+                port,
+                domain,
+                version,
+                slots,
+                true,
+                coldRemaining,
+                startedAtMillis,
+                entryNumber);
+    }
+
     /** Returns whether the other entry is of the same process. An address or identifier alone may be reused. */
     boolean isSameIncarnation(Upstream other) {
         return identifier.equals(other.identifier)
--- a/gate-core/src/main/java/org/sassafrastrail/gate/UpstreamStatus.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/UpstreamStatus.java
@@ -6,6 +6,8 @@
     FOUND,
     /** The upstream is draining and gets no new requests. */
     LEAVING,
+    /** The registry shows an older entry of the upstream than before, which changes nothing. */
+    ENTRY_OUTDATED,
     /** The upstream is no longer registered. */
     GONE,
     /** The upstream failed too often and temporarily gets no requests. */
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GatewayCoreTest.java
@@ -563,7 +563,8 @@
                 next.slots(),
                 false,
                 Duration.ZERO,
-                next.startedAtMillis() + 1));
+                next.startedAtMillis() + 1,
+                1));
         assertThat(gateway.state().upstreams().get(next.identifier()).running()).isZero();
         gateway.endAttempt(1, 1, new AttemptResult.Lost());
         assertThat(gateway.state().upstreams().get(next.identifier()).running()).isZero();
--- a/gate-core/src/test/java/org/sassafrastrail/gate/GatewayDriver.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/GatewayDriver.java
@@ -115,6 +115,7 @@
                 slots,
                 false,
                 Duration.ZERO,
+                1,
                 1);
     }
 
@@ -145,7 +146,8 @@
                 upstream.slots(),
                 draining,
                 coldRemaining,
-                startedAtMillis);
+                startedAtMillis,
+                upstream.entryNumber() + 1);
     }
 
     static Prompt prompt(String session, int sessionTokens, long inputTokens) {
--- a/gate-core/src/test/java/org/sassafrastrail/gate/VersionTrialTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/VersionTrialTest.java
@@ -40,6 +40,7 @@
                 old.slots(),
                 false,
                 Duration.ZERO,
+                1,
                 1);
     }
 
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
@@ -133,7 +133,7 @@
     private void recordUpstreamStatus(GatewayAction.ReportUpstreamStatus report) {
         metrics.count("upstream", report.status());
         log.info(
-                "upstream-" + report.status().name().toLowerCase(Locale.ROOT),
+                "upstream-" + report.status().name().toLowerCase(Locale.ROOT).replace('_', '-'),
                 LogField.of("upstream", report.upstream()),
                 LogField.of("detail", report.detail()));
     }
