--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerResponse.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerResponse.java
@@ -14,14 +14,12 @@
  */
 final class CallerResponse {
 
-    private static final ByteBuffer NO_BYTES = ByteBuffer.allocate(0);
-
     private final HttpServerExchange exchange;
     private final Runnable onDrained;
     private final Runnable onDisconnect;
+    private final UnwrittenBytes unwritten = new UnwrittenBytes();
 
     private StreamSinkChannel sink;
-    private ByteBuffer unwritten = NO_BYTES;
     private boolean finishing;
     private boolean closed;
 
@@ -64,14 +62,11 @@
         }
         start(head, OptionalLong.empty());
         try {
-            while (part.hasRemaining()) {
-                if (sink.write(part) == 0) {
-                    unwritten = copy(part);
-                    resumeWhenWritable();
-                    return false;
-                }
+            if (unwritten.write(part, sink)) {
+                return true;
             }
-            return true;
+            resumeWhenWritable();
+            return false;
         } catch (IOException disconnected) {
             onDisconnect.run();
             return true;
@@ -84,7 +79,7 @@
             return;
         }
         start(head, OptionalLong.of(last.length));
-        if (write(head, ByteBuffer.wrap(last)) && !unwritten.hasRemaining()) {
+        if (write(head, ByteBuffer.wrap(last)) && unwritten.isEmpty()) {
             finish();
         } else {
             finishing = true;
@@ -115,12 +110,6 @@
         }
     }
 
-    private static ByteBuffer copy(ByteBuffer part) {
-        ByteBuffer copy = ByteBuffer.allocate(part.remaining());
-        copy.put(part).flip();
-        return copy;
-    }
-
     private void resumeWhenWritable() {
         sink.getWriteSetter().set(channel -> writeRemaining());
         sink.resumeWrites();
@@ -128,12 +117,7 @@
 
     private void writeRemaining() {
         try {
-            while (unwritten.hasRemaining()) {
-                if (sink.write(unwritten) == 0) {
-                    return;
-                }
-            }
-            if (!sink.flush()) {
+            if (!unwritten.writeRest(sink) || !sink.flush()) {
                 return;
             }
             sink.suspendWrites();
