--- a/gateway/src/main/java/org/sassafrastrail/gateway/BufferedBody.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/BufferedBody.java
@@ -25,7 +25,7 @@
     }
 
     @Override
-    public boolean receive(ByteBuffer part) throws ResponseLimitException {
+    public boolean receive(ByteBuffer part) throws UnusableResponseException {
         if (streamed) {
             return response.write(head, part);
         }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -226,8 +226,8 @@
     public boolean bodyReceived(ByteBuffer part) {
         try {
             return responseBody.receive(part);
-        } catch (ResponseLimitException exceeded) {
-            attempt.fail(exceeded.getMessage());
+        } catch (UnusableResponseException unusable) {
+            attempt.fail(unusable.getMessage());
             return false;
         }
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamBody.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamBody.java
@@ -37,17 +37,22 @@
     }
 
     @Override
-    public boolean receive(ByteBuffer part) throws ResponseLimitException {
+    public boolean receive(ByteBuffer part) throws UnusableResponseException {
         ByteBuffer events = ByteBuffer.wrap(splitter.completeEvents(part));
         if (splitter.isOverLimit()) {
-            throw new ResponseLimitException("event not terminated within the size limit");
+            throw new UnusableResponseException("event not terminated within the size limit");
         }
         memory.holdReceived(splitter.partialBytes());
         if (events.hasRemaining()) {
             hasEvent = true;
             onEvent.run();
         }
-        return response.write(head, events);
+        boolean written = response.write(head, events);
+        if (splitter.isGarbled()) {
+            throw new UnusableResponseException(
+                    "garbled stream after event " + splitter.lastIdentifier().orElse("none"));
+        }
+        return written;
     }
 
     @Override
--- a/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamSplitter.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamSplitter.java
@@ -8,16 +8,19 @@
 
 /**
  * Splits a stream into complete events and remembers the identifier of the last one, so that the stream can be resumed at
- * another upstream. An incomplete event is not forwarded.
+ * another upstream. Identifiers increase. An incomplete event is not forwarded, nor anything from the first bytes on that
+ * are not the next event.
  */
 final class EventStreamSplitter {
 
-    private static final String IDENTIFIER_FIELD = "id:";
-
     private static final int MAX_EVENT_BYTES = 256 * 1024;
 
+    /** Identifiers with more digits are not compared as numbers. */
+    private static final int MAX_DIGITS = 18;
+
     private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
     private Optional<String> lastIdentifier = Optional.empty();
+    private boolean garbled;
 
     /** Adds a part of the stream and returns all events that are complete now. */
     byte[] completeEvents(ByteBuffer part) {
@@ -25,19 +28,54 @@
         part.get(bytes);
         partial.writeBytes(bytes);
         byte[] all = partial.toByteArray();
-        int end = endOfLastEvent(all);
-        if (end == 0) {
-            return new byte[0];
+        int accepted = acceptEvents(all);
+        if (accepted > 0) {
+            partial.reset();
+            partial.write(all, accepted, all.length - accepted);
         }
-        partial.reset();
-        partial.write(all, end, all.length - end);
-        byte[] events = Arrays.copyOf(all, end);
-        new String(events, StandardCharsets.UTF_8)
-                .lines()
-                .filter(line -> line.startsWith(IDENTIFIER_FIELD))
-                .forEach(line -> lastIdentifier =
-                        Optional.of(line.substring(IDENTIFIER_FIELD.length()).trim()));
-        return events;
+        return Arrays.copyOf(all, accepted);
+    }
+
+    /** Accepts complete events up to the first bytes that are not the next event, and returns the end of the last one. */
+    private int acceptEvents(byte[] all) {
+        int accepted = 0;
+        int end = endOfEvent(all, accepted);
+        while (end > 0 && accept(ByteBuffer.wrap(all, accepted, end - accepted))) {
+            accepted = end;
+            end = endOfEvent(all, accepted);
+        }
+        return accepted;
+    }
+
+    private boolean accept(ByteBuffer event) {
+        if (isBlank(event)) {
+            return true;
+        }
+        Optional<String> identifier = EventParser.identifier(event).filter(this::isAfterLast);
+        garbled = identifier.isEmpty();
+        lastIdentifier = identifier.or(() -> lastIdentifier);
+        return !garbled;
+    }
+
+    private boolean isAfterLast(String identifier) {
+        return lastIdentifier
+                .map(last -> isNumber(last)
+                        ? isNumber(identifier) && Long.parseLong(identifier) > Long.parseLong(last)
+                        : !identifier.equals(last))
+                .orElse(true);
+    }
+
+    private static boolean isNumber(String identifier) {
+        return identifier.length() <= MAX_DIGITS
+                && identifier.chars().allMatch(character -> character >= '0' && character <= '9');
+    }
+
+    /** Line breaks before an event, or after the last one, belong to none. */
+    private static boolean isBlank(ByteBuffer event) {
+        return StandardCharsets.ISO_8859_1
+                .decode(event.duplicate())
+                .chars()
+                .allMatch(character -> character == '\r' || character == '\n');
     }
 
     /** Returns whether the incomplete event exceeds the size limit. */
@@ -45,9 +83,14 @@
         return partial.size() > MAX_EVENT_BYTES;
     }
 
-    /** Returns whether the stream is inside an event. Line breaks after the last event belong to none. */
+    /** Returns whether something other than the next event follows the last accepted one. */
+    boolean isGarbled() {
+        return garbled;
+    }
+
+    /** Returns whether the stream is inside an event. */
     boolean isInsideEvent() {
-        return !partial.toString(StandardCharsets.UTF_8).isBlank();
+        return !isBlank(ByteBuffer.wrap(partial.toByteArray()));
     }
 
     /** Returns the size of the incomplete event. */
@@ -62,20 +105,22 @@
         return all;
     }
 
-    /** Discards a truncated event. */
+    /** Discards what a broken attempt left of a truncated or garbled event. */
     void discardPartial() {
         partial.reset();
+        garbled = false;
     }
 
     Optional<String> lastIdentifier() {
         return lastIdentifier;
     }
 
-    /** Finds the end of the last event: an empty line; lines end with LF or CRLF. */
-    private static int endOfLastEvent(byte[] all) {
-        for (int index = all.length - 1; index > 0; index--) {
+    /** Finds the end of the first event from an offset on: an empty line; lines end with LF or CRLF. Returns 0 for none. */
+    private static int endOfEvent(byte[] all, int from) {
+        for (int index = from + 1; index < all.length; index++) {
             if (all[index] == '\n'
-                    && (all[index - 1] == '\n' || index > 1 && all[index - 1] == '\r' && all[index - 2] == '\n')) {
+                    && (all[index - 1] == '\n'
+                            || index > from + 1 && all[index - 1] == '\r' && all[index - 2] == '\n')) {
                 return index + 1;
             }
         }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/FailureBody.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/FailureBody.java
@@ -32,11 +32,11 @@
     record StoredFailure(UpstreamResponseHead head, byte[] body) {}
 
     @Override
-    public boolean receive(ByteBuffer part) throws ResponseLimitException {
+    public boolean receive(ByteBuffer part) throws UnusableResponseException {
         int size = buffered.size() + part.remaining();
         memory.holdReceived(size);
         if (size > MAX_BYTES) {
-            throw new ResponseLimitException("failure over " + MAX_BYTES + " bytes");
+            throw new UnusableResponseException("failure over " + MAX_BYTES + " bytes");
         }
         byte[] bytes = new byte[part.remaining()];
         part.get(bytes);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/ResponseBody.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/ResponseBody.java
@@ -12,9 +12,9 @@
      *
      * @param part the next bytes
      * @return false if the caller can take no more for now
-     * @throws ResponseLimitException if the response exceeds a limit
+     * @throws UnusableResponseException if the response exceeds a limit or is garbled
      */
-    boolean receive(ByteBuffer part) throws ResponseLimitException;
+    boolean receive(ByteBuffer part) throws UnusableResponseException;
 
     /**
      * Ends the body after its last byte was received, and with it the response to the caller if the body is usable.
--- a/gateway/src/main/java/org/sassafrastrail/gateway/ResponseMemory.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/ResponseMemory.java
@@ -19,14 +19,14 @@
      * Reserves memory for the body that is being received, in place of what was reserved for it before.
      *
      * @param bytes the buffered size of the body
-     * @throws ResponseLimitException if no memory is left; what was reserved before stays so
+     * @throws UnusableResponseException if no memory is left; what was reserved before stays so
      */
-    void holdReceived(long bytes) throws ResponseLimitException {
+    void holdReceived(long bytes) throws UnusableResponseException {
         if (closed) {
             return;
         }
         if (bytes > receivedBytes && !budget.reserve(bytes - receivedBytes)) {
-            throw new ResponseLimitException("no memory left for buffered responses");
+            throw new UnusableResponseException("no memory left for buffered responses");
         }
         if (bytes < receivedBytes) {
             budget.release(receivedBytes - bytes);
