--- a/gateway/src/main/java/org/sassafrastrail/gateway/LimitedConnectionThread.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/LimitedConnectionThread.java
@@ -10,14 +10,15 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Opens connections on another I/O thread and puts an {@link UnproductiveReadLimit} in front of what reads from them.
- * Undertow's client takes an I/O thread to open its connections, and has no other place for the limit. This object is
+ * Opens connections on another I/O thread and puts an {@link UnproductiveReadLimit} and a {@link ChunkChecker} in front of
+ * what reads from them. Undertow's client takes an I/O thread to open its connections, and has no other place for them. This object is
  * never started as a thread. Confined to the other thread.
  */
 final class LimitedConnectionThread extends XnioIoThread {
 
     private final XnioIoThread thread;
     private UnproductiveReadLimit lastLimit;
+    private ChunkChecker lastChecker;
 
     LimitedConnectionThread(XnioIoThread thread) {
         super(thread.getWorker(), thread.getNumber());
@@ -29,6 +30,11 @@
         return lastLimit;
     }
 
+    /** Returns the checker of the connection that was opened last. */
+    ChunkChecker lastChecker() {
+        return lastChecker;
+    }
+
     @Override
     public IoFuture<StreamConnection> openStreamConnection(
             SocketAddress destination, ChannelListener<? super StreamConnection> openListener, OptionMap options) {
@@ -37,7 +43,8 @@
                 connection -> {
                     lastLimit = new UnproductiveReadLimit(
                             connection.getSourceChannel().getConduit());
-                    connection.getSourceChannel().setConduit(lastLimit);
+                    lastChecker = new ChunkChecker();
+                    connection.getSourceChannel().setConduit(new CheckedSource(lastLimit, lastChecker));
                     openListener.handleEvent(connection);
                 },
                 options);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -17,6 +17,7 @@
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import io.undertow.util.Methods;
 import org.sassafrastrail.gate.AttemptResult;
 import org.sassafrastrail.gate.Upstream;
 import org.sassafrastrail.http.ResponseFraming;
@@ -95,6 +96,7 @@
         if (request instanceof AttemptRequest.Ready ready) {
             connection = opened;
             connection.readLimit().progressMade();
+            connection.chunkChecker().requestSent(!ready.head().getMethod().equals(Methods.HEAD));
             connection.client().sendRequest(ready.head(), callback(this::requestSent, this::fail));
         } else if (request instanceof AttemptRequest.NotWanted notWanted) {
             connectionPool.release(upstream, opened, DEFAULT_KEEP_ALIVE);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnection.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnection.java
@@ -7,5 +7,6 @@
  *
  * @param client the connection of the HTTP client
  * @param readLimit the limit on what it reads without progress
+ * @param chunkChecker checks the framing of what it reads
  */
-record UpstreamConnection(ClientConnection client, UnproductiveReadLimit readLimit) {}
+record UpstreamConnection(ClientConnection client, UnproductiveReadLimit readLimit, ChunkChecker chunkChecker) {}
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnectionPool.java
@@ -110,7 +110,7 @@
             }
             done = true;
             timer.remove();
-            callback.completed(new UpstreamConnection(connection, thread.lastLimit()));
+            callback.completed(new UpstreamConnection(connection, thread.lastLimit(), thread.lastChecker()));
         }
 
         @Override
