--- a/gateway/src/main/java/org/sassafrastrail/gateway/ResponseClassifier.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/ResponseClassifier.java
@@ -37,13 +37,16 @@
         if (NOT_EXECUTED_STATUSES.contains(response.status())) {
             return ResponseKind.UNPROVEN;
         }
+        if (!response.belongsTo(requestIdentifier)) {
+            return ResponseKind.FOREIGN;
+        }
         if (streamStarted) {
-            return continuesStream(requestIdentifier, response) ? ResponseKind.ANSWERED : ResponseKind.UNFITTING;
+            return continuesStream(response) ? ResponseKind.ANSWERED : ResponseKind.UNFITTING;
         }
         if (response.status() >= StatusCodes.INTERNAL_SERVER_ERROR) {
             return ResponseKind.FAILED;
         }
-        return isAuthenticated(requestIdentifier, response) || response.status() >= StatusCodes.BAD_REQUEST
+        return isAuthenticated(response) || response.status() >= StatusCodes.BAD_REQUEST
                 ? ResponseKind.ANSWERED
                 : ResponseKind.FOREIGN;
     }
@@ -55,13 +58,11 @@
         return response.status() == MISDIRECTED ? ResponseKind.WRONG_UPSTREAM : ResponseKind.DECLINED;
     }
 
-    private static boolean continuesStream(String requestIdentifier, ResponseFacts response) {
-        return response.status() == StatusCodes.OK
-                && response.eventStream()
-                && isAuthenticated(requestIdentifier, response);
+    private static boolean continuesStream(ResponseFacts response) {
+        return response.status() == StatusCodes.OK && response.eventStream() && isAuthenticated(response);
     }
 
-    private static boolean isAuthenticated(String requestIdentifier, ResponseFacts response) {
-        return response.belongsTo(requestIdentifier) && response.hasReceipt() && !response.contentEncoded();
+    private static boolean isAuthenticated(ResponseFacts response) {
+        return response.hasReceipt() && !response.contentEncoded();
     }
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/ResponseKind.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/ResponseKind.java
@@ -2,9 +2,9 @@
 
 /** The kinds of responses that an upstream can send. */
 enum ResponseKind {
-    /** An authenticated response to the request, or a client error; it is forwarded to the caller whatever its status. */
+    /** An authenticated response, or a client error, that names the request; it is forwarded to the caller. */
     ANSWERED,
-    /** A response with a server error status: the upstream failed. */
+    /** A response with a server error status that names the request: the upstream failed. */
     FAILED,
     /** The upstream states that it did not run the request. */
     DECLINED,
@@ -14,6 +14,6 @@
     UNPROVEN,
     /** A response that does not continue the stream of events that the caller has received a part of. */
     UNFITTING,
-    /** A response to another request, or not from an upstream. */
+    /** A response that does not name the request, or a success that is not authenticated. */
     FOREIGN
 }
--- a/gateway/src/test/java/org/sassafrastrail/gateway/ResponseClassifierTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/ResponseClassifierTest.java
@@ -43,6 +43,21 @@
                 .isEqualTo(status == 200 ? ResponseKind.ANSWERED : ResponseKind.UNFITTING);
     }
 
+    /** Guards against DENIED: additional bytes after a response were taken for the client error of the next request. */
+    @ParameterizedTest
+    @ValueSource(ints = {200, 204, 302, 400, 404, 413, 500, 502, 504})
+    void responseWithoutRequestIdentifierIsForeign(int status) {
+        assertThat(classify(status, null, false, false, false)).isEqualTo(ResponseKind.FOREIGN);
+        assertThat(classify(status, null, false, true, true)).isEqualTo(ResponseKind.FOREIGN);
+        assertThat(classify(status, "earlier", false, false, false)).isEqualTo(ResponseKind.FOREIGN);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {400, 404, 413})
+    void clientErrorThatNamesRequestIsAnswer(int status) {
+        assertThat(classify(status, REQUEST, false, false, false)).isEqualTo(ResponseKind.ANSWERED);
+    }
+
     @Test
     void successNeedsRequestIdentifierAndReceipt() {
         assertThat(classify(200, REQUEST, false, false, false)).isEqualTo(ResponseKind.ANSWERED);
