--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -6,7 +6,6 @@
 import java.util.EnumSet;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -20,6 +19,7 @@
 import io.undertow.util.Methods;
 import org.sassafrastrail.gate.AttemptResult;
 import org.sassafrastrail.gate.Upstream;
+import org.sassafrastrail.http.BodyFraming;
 import org.sassafrastrail.http.ResponseFraming;
 import org.xnio.ChannelListeners;
 import org.xnio.channels.StreamSinkChannel;
@@ -34,6 +34,9 @@
     private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofSeconds(2);
     private static final String KEEP_ALIVE_TIMEOUT = "timeout=";
 
+    /** A longer number means nothing, and would not fit into a duration. */
+    private static final int MAX_KEEP_ALIVE_DIGITS = 9;
+
     /** The number of buffers to read before other connections of the thread are served. */
     private static final int MAX_BUFFERS_PER_READ = 16;
 
@@ -146,7 +149,12 @@
             fail(kind + ", status " + response.getResponseCode());
             return;
         }
-        keepAlive = keepAlive(headers);
+        Optional<BodyFraming> framing = BodyFraming.of(headers);
+        if (framing.isEmpty()) {
+            fail("contradictory framing, status " + response.getResponseCode());
+            return;
+        }
+        keepAlive = keepAlive(headers, framing.get());
         source = exchange.getResponseChannel();
         if (kind == ResponseKind.DECLINED || kind == ResponseKind.WRONG_UPSTREAM) {
             end(
@@ -158,16 +166,26 @@
         responseStarted = true;
         listener.responseStarted(new UpstreamResponseHead(
                 response.getResponseCode(),
-                protocol.callerResponseHeaders(headers),
+                callerHeaders(headers, framing.get(), facts.eventStream()),
                 kind,
-                length(headers),
-                !endsWithConnection(headers),
+                framing.get().length(),
+                !endsWithConnection(framing.get()),
                 facts.eventStream(),
                 protocol.readReportedLoad(headers)));
         source.getReadSetter().set(channel -> read());
         read();
     }
 
+    /** A stream of events gets no length, because another upstream may resume it. */
+    private HeaderMap callerHeaders(HeaderMap headers, BodyFraming framing, boolean eventStream) {
+        HeaderMap forwarded = protocol.callerResponseHeaders(headers);
+        framing.applyTo(forwarded);
+        if (eventStream) {
+            forwarded.remove(Headers.CONTENT_LENGTH);
+        }
+        return forwarded;
+    }
+
     /** Resumes reading after the listener could not accept more. */
     void resume() {
         if (!ended && source != null) {
@@ -248,11 +266,11 @@
     }
 
     /** Returns how long the idle connection may be kept open, zero if it must be closed. */
-    private static Duration keepAlive(HeaderMap headers) {
+    private static Duration keepAlive(HeaderMap headers, BodyFraming framing) {
         boolean closes = Optional.ofNullable(headers.getFirst(Headers.CONNECTION))
                 .filter(value -> value.toLowerCase(Locale.ROOT).contains("close"))
                 .isPresent();
-        if (closes || endsWithConnection(headers)) {
+        if (closes || endsWithConnection(framing)) {
             return Duration.ZERO;
         }
         return Optional.ofNullable(headers.getFirst(Headers.KEEP_ALIVE))
@@ -260,8 +278,8 @@
                 .orElse(DEFAULT_KEEP_ALIVE);
     }
 
-    private static boolean endsWithConnection(HeaderMap headers) {
-        return ResponseFraming.bodyEnd(headers) == ResponseFraming.BodyEnd.CONNECTION_END;
+    private static boolean endsWithConnection(BodyFraming framing) {
+        return framing.end() == ResponseFraming.BodyEnd.CONNECTION_END;
     }
 
     private static Optional<Duration> timeout(String keepAlive) {
@@ -275,12 +293,9 @@
                 .takeWhile(Character::isDigit)
                 .collect(StringBuilder::new, StringBuilder::appendCodePoint, StringBuilder::append)
                 .toString();
-        return digits.isEmpty() ? Optional.empty() : Optional.of(Duration.ofSeconds(Long.parseLong(digits)));
-    }
-
-    private static OptionalLong length(HeaderMap headers) {
-        String length = headers.getFirst(Headers.CONTENT_LENGTH);
-        return length == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(length.trim()));
+        return digits.isEmpty() || digits.length() > MAX_KEEP_ALIVE_DIGITS
+                ? Optional.empty()
+                : Optional.of(Duration.ofSeconds(Long.parseLong(digits)));
     }
 
     private static <T> ClientCallback<T> callback(Consumer<T> done, Consumer<String> failed) {
