--- a/http/src/main/java/org/sassafrastrail/http/UndertowHttpClient.java
+++ b/http/src/main/java/org/sassafrastrail/http/UndertowHttpClient.java
@@ -4,12 +4,8 @@
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.Deque;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -41,7 +37,7 @@
     private static final int BUFFER_BYTES = 16 * 1024;
 
     private final int threads;
-    private final Map<String, Deque<ClientConnection>> idle = new ConcurrentHashMap<>();
+    private final IdleConnections idle = new IdleConnections(System::nanoTime);
     private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
     private volatile XnioWorker worker;
 
@@ -72,7 +68,7 @@
 
     @Override
     public void stop() {
-        idle.values().forEach(connections -> connections.forEach(IoUtils::safeClose));
+        idle.discardAll();
         if (worker != null) {
             worker.shutdownNow();
         }
@@ -80,18 +76,12 @@
 
     @Override
     public HttpResult send(HttpRequest request) {
-        Optional<ClientConnection> idleConnection = request.reuseConnection() ? takeIdle(request) : Optional.empty();
+        Optional<ClientConnection> idleConnection =
+                request.reuseConnection() ? idle.take(hostAndPort(request)) : Optional.empty();
         Optional<ClientConnection> connection = idleConnection.or(() -> connect(request));
         return connection.map(present -> exchange(request, present)).orElseGet(HttpResult.NotSent::new);
     }
 
-    private Optional<ClientConnection> takeIdle(HttpRequest request) {
-        Deque<ClientConnection> connections = idle.get(hostAndPort(request));
-        return connections == null
-                ? Optional.empty()
-                : Optional.ofNullable(connections.pollFirst()).filter(ClientConnection::isOpen);
-    }
-
     private Optional<ClientConnection> connect(HttpRequest request) {
         URI address = URI.create("http://" + hostAndPort(request));
         IoFuture<ClientConnection> future =
@@ -115,10 +105,11 @@
             ClientExchange sent = pending.sent().get(timeoutMillis, TimeUnit.MILLISECONDS);
             write(sent, request.body(), timeoutMillis);
             ClientExchange responded = pending.responded().get(timeoutMillis, TimeUnit.MILLISECONDS);
-            return new HttpResult.Responded(
-                    new UndertowHttpResponse(responded, request.timeout(), () -> release(request, connection)));
+            return new HttpResult.Responded(new UndertowHttpResponse(
+                    responded, request.timeout(), () -> idle.add(hostAndPort(request), connection)));
         } catch (IOException | ExecutionException | TimeoutException failure) {
             IoUtils.safeClose(connection);
+            idle.discard(hostAndPort(request));
             return new HttpResult.NoResponse();
         } catch (InterruptedException interrupted) {
             IoUtils.safeClose(connection);
@@ -153,13 +144,6 @@
         }
     }
 
-    private void release(HttpRequest request, ClientConnection connection) {
-        if (connection.isOpen()) {
-            idle.computeIfAbsent(hostAndPort(request), hostAndPort -> new ConcurrentLinkedDeque<>())
-                    .addFirst(connection);
-        }
-    }
-
     private static String hostAndPort(HttpRequest request) {
         return request.host() + ":" + request.port();
     }
--- a/http/src/test/java/org/sassafrastrail/http/UndertowHttpClientTest.java
+++ b/http/src/test/java/org/sassafrastrail/http/UndertowHttpClientTest.java
@@ -9,9 +9,13 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -25,6 +29,8 @@
 
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
     private static final long PAUSE_MILLISECONDS = 60;
+    private static final Duration SILENCE = Duration.ofMillis(300);
+    private static final int SILENT_CONNECTIONS = 4;
     private static final int MORE_THAN_SOCKET_BUFFERS_HOLD = 64 * 1024 * 1024;
 
     private final UndertowHttpClient client = new UndertowHttpClient(1);
@@ -71,6 +77,80 @@
         }
     }
 
+    /** Guards against CONFIG: after all connections went silent at once, each call waited for another old one. */
+    @Test
+    @Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void connectionThatWentSilentMakesIdleOnesSuspect() throws Exception {
+        try (SilencedServer server = new SilencedServer()) {
+            HttpRequest request =
+                    new HttpRequest("127.0.0.1", server.port(), "GET", "/", Map.of(), new byte[0], SILENCE, true);
+            List<HttpResult> open = Stream.generate(() -> client.send(request))
+                    .limit(SILENT_CONNECTIONS)
+                    .toList();
+            for (HttpResult result : open) {
+                try (HttpResponse response = ((HttpResult.Responded) result).response()) {
+                    assertThat(response.body().readAllBytes()).isEmpty();
+                }
+            }
+            server.silenceOpenConnections();
+            assertThat(client.send(request)).isInstanceOf(HttpResult.NoResponse.class);
+            assertThat(client.send(request)).isInstanceOf(HttpResult.Responded.class);
+        }
+    }
+
+    /** A server whose open connections can go silent, while new ones are served. */
+    private static final class SilencedServer implements AutoCloseable {
+
+        private final ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        private final Set<Socket> silent = ConcurrentHashMap.newKeySet();
+        private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+
+        SilencedServer() throws IOException {
+            CompletableFuture.runAsync(this::accept, command -> new Thread(command).start());
+        }
+
+        int port() {
+            return server.getLocalPort();
+        }
+
+        void silenceOpenConnections() {
+            silent.addAll(open);
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    Socket socket = server.accept();
+                    open.add(socket);
+                    CompletableFuture.runAsync(() -> respond(socket), command -> new Thread(command).start());
+                }
+            } catch (IOException closed) {
+                // The test has ended.
+            }
+        }
+
+        private void respond(Socket socket) {
+            try (socket) {
+                BufferedReader requests =
+                        new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+                for (String line = requests.readLine(); line != null; line = requests.readLine()) {
+                    if (line.isEmpty() && !silent.contains(socket)) {
+                        socket.getOutputStream()
+                                .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                                        .getBytes(StandardCharsets.US_ASCII));
+                    }
+                }
+            } catch (IOException closed) {
+                // The client closed the connection.
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
     private String bodyOf(String... pieces) throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             CompletableFuture<Void> served = CompletableFuture.runAsync(() -> serve(server, pieces));
