--- a/gateway/src/main/java/org/sassafrastrail/gateway/BufferBudget.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/BufferBudget.java
@@ -26,11 +26,6 @@
         return false;
     }
 
-    /** Returns whether everything has been reserved. */
-    boolean isExhausted() {
-        return reserved.get() >= maxBytes;
-    }
-
     void release(long bytes) {
         reserved.addAndGet(-bytes);
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -83,10 +83,6 @@
         return description;
     }
 
-    long bodyBytes() {
-        return body.length;
-    }
-
     /** Returns the time from the arrival of the request to the first response head of an upstream, empty if none came. */
     Optional<Duration> timeToFirstByte() {
         return timeToFirstByte;
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -32,6 +32,9 @@
     /** The total size of request bodies held at once; more would not fit into the memory of the process. */
     private static final long MAX_BUFFERED_BODY_BYTES = 24L * 1024 * 1024;
 
+    /** The part of it that large bodies may take. */
+    private static final long MAX_LARGE_BODY_BYTES = 18L * 1024 * 1024;
+
     /** The total size of what is buffered of upstreams' responses at once. */
     private static final long MAX_BUFFERED_RESPONSE_BYTES = 12L * 1024 * 1024;
 
@@ -46,7 +49,8 @@
     private final Clock clock;
     private final ByteBufferPool buffers;
     private final AtomicLong callNumbers = new AtomicLong();
-    private final BufferBudget requestBuffers = new BufferBudget(MAX_BUFFERED_BODY_BYTES);
+    private final BufferBudget bodies = new BufferBudget(MAX_BUFFERED_BODY_BYTES);
+    private final BufferBudget largeBodies = new BufferBudget(MAX_LARGE_BODY_BYTES);
     private final BufferBudget responseBuffers = new BufferBudget(MAX_BUFFERED_RESPONSE_BYTES);
     private final Map<Long, CallerExchange> calls = new ConcurrentHashMap<>();
     private final OpenConnections openConnections;
@@ -106,8 +110,6 @@
             refuse(exchange, request, account, StatusCodes.BAD_REQUEST, RefusalReason.MALFORMED_REQUEST);
         } else if (exchange.getRequestContentLength() > configuration.maxBodyBytes()) {
             refuse(exchange, request, account, StatusCodes.REQUEST_ENTITY_TOO_LARGE, RefusalReason.BODY_TOO_LARGE);
-        } else if (requestBuffers.isExhausted()) {
-            refuse(exchange, request, account, StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.REQUEST_MEMORY_FULL);
         } else if (!admission.admits(route.get().latencyTarget(), sender(account, route.get()))) {
             recorder.stepReached(
                     account,
@@ -141,34 +143,54 @@
 
     private void readBody(HttpServerExchange exchange, long number, CallDescription description, long maxBodyBytes) {
         exchange.setMaxEntitySize(maxBodyBytes);
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (read, body) -> read.dispatch(
-                                SameThreadExecutor.INSTANCE, () -> bodyRead(read, number, description, body)),
-                        (read, failure) -> {
-                            if (read.isResponseStarted()) {
-                                ResponseFraming.abort(read);
-                            } else {
-                                refuse(
-                                        read,
-                                        description.request(),
-                                        description.account(),
-                                        StatusCodes.REQUEST_ENTITY_TOO_LARGE,
-                                        RefusalReason.BODY_TOO_LARGE);
-                            }
-                        });
+        RequestMemory memory = new RequestMemory(bodies, largeBodies);
+        exchange.addExchangeCompleteListener((done, next) -> {
+            memory.close();
+            next.proceed();
+        });
+        BodyListener listener = new BodyListener(exchange, number, description);
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> new RequestBodyReader(exchange, memory, listener).start());
     }
 
-    private void bodyRead(HttpServerExchange exchange, long number, CallDescription description, byte[] body) {
-        if (!requestBuffers.reserve(body.length)) {
-            refuse(
-                    exchange,
-                    description.request(),
-                    description.account(),
-                    StatusCodes.SERVICE_UNAVAILABLE,
-                    RefusalReason.REQUEST_MEMORY_FULL);
-            return;
+    /** Goes on with a request, or refuses it, once its body has been read or cannot be. */
+    private final class BodyListener implements RequestBodyReader.Listener {
+
+        private final HttpServerExchange exchange;
+        private final long number;
+        private final CallDescription description;
+
+        BodyListener(HttpServerExchange exchange, long number, CallDescription description) {
+            this.exchange = exchange;
+            this.number = number;
+            this.description = description;
+        }
+
+        @Override
+        public void bodyRead(byte[] body) {
+            requestRead(exchange, number, description, body);
+        }
+
+        @Override
+        public void bodyTooLarge() {
+            refuseRead(StatusCodes.REQUEST_ENTITY_TOO_LARGE, RefusalReason.BODY_TOO_LARGE);
         }
+
+        @Override
+        public void memoryFull() {
+            refuseRead(StatusCodes.SERVICE_UNAVAILABLE, RefusalReason.REQUEST_MEMORY_FULL);
+        }
+
+        @Override
+        public void connectionLost() {
+            ResponseFraming.abort(exchange);
+        }
+
+        private void refuseRead(int status, RefusalReason reason) {
+            refuse(exchange, description.request(), description.account(), status, reason);
+        }
+    }
+
+    private void requestRead(HttpServerExchange exchange, long number, CallDescription description, byte[] body) {
         UpstreamResources upstreams =
                 upstreamResources.computeIfAbsent(exchange.getIoThread(), this::createUpstreamResources);
         CallerRequest request = new CallerRequest(number, description, body);
@@ -230,7 +252,6 @@
         CallerExchange call = removeCall(number);
         if (call != null) {
             call.finish();
-            requestBuffers.release(call.bodyBytes());
             Duration duration = Duration.between(call.description().arrivedAt(), clock.instant());
             recorder.finished(new FinishedCall(
                     call.description(),
--- a/gateway/src/test/java/org/sassafrastrail/gateway/BufferBudgetTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/BufferBudgetTest.java
@@ -14,14 +14,14 @@
         assertThat(budget.reserve(60)).isTrue();
         assertThat(budget.reserve(41)).isFalse();
         assertThat(budget.reserve(40)).isTrue();
-        assertThat(budget.isExhausted()).isTrue();
+        assertThat(budget.reserve(1)).isFalse();
     }
 
     @Test
     void releasedMemoryCanBeReservedAgain() {
         budget.reserve(100);
         budget.release(30);
-        assertThat(budget.isExhausted()).isFalse();
+        assertThat(budget.reserve(31)).isFalse();
         assertThat(budget.reserve(30)).isTrue();
     }
 }
