--- a/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
@@ -85,7 +85,7 @@
                 : next.then(statusReport(entry, UpstreamStatus.ENTRY_OUTDATED));
     }
 
-    /** Remembers a draining upstream for peers that have not seen its entry. Without its start, they could take it for another. */
+    /** Remembers a draining upstream for peers that start later. Without a start time, they could mistake it for a later process. */
     private static GatewayState withDrainNotice(GatewayState state, Upstream entry, Instant now) {
         return entry.draining() && entry.hasKnownStart()
                 ? state.with(state.drainNotices().mergedWith(Map.of(entry.incarnation(), now)))
@@ -116,7 +116,8 @@
                 status,
                 upstream.target() + " " + upstream.version() + " at " + upstream.host() + ":" + upstream.port() + " in "
                         + upstream.domain() + ", cold for "
-                        + upstream.coldRemaining().toMillis() + " ms, entry " + upstream.entryNumber() + " since "
+                        + upstream.coldRemaining().toMillis() + " ms, entry number " + upstream.entryNumber()
+                        + " of the process started at "
                         + upstream.startedAtMillis());
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/EntryHistory.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/EntryHistory.java
@@ -23,10 +23,10 @@
 
     static final EntryHistory EMPTY = new EntryHistory(HashTreePMap.empty(), HashTreePMap.empty());
 
-    /** Longer than the store holds back a write. */
+    /** Much longer than the seconds for which the store may hold back a write. */
     static final Duration RETENTION = Duration.ofMinutes(10);
 
-    /** Shorter than {@link #RETENTION}, because a later process of the same upstream can't be told apart. */
+    /** Little longer than the store may hold back a write, because a later process can't be told from the one that left. */
     static final Duration RETENTION_WITHOUT_START = Duration.ofSeconds(10);
 
     /**
--- a/gateway/src/test/java/org/sassafrastrail/gateway/ChunkCheckerTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/ChunkCheckerTest.java
@@ -117,7 +117,7 @@
         assertThat(checker.fault()).isPresent();
     }
 
-    /** Chunks of random bytes have no fault; with a random byte in place of one of a size, they are read to their end or not. */
+    /** Chunks of random bytes have no fault. With one byte replaced, the checker stops at a fault or reads on, but never fails. */
     @Test
     void randomChunksHaveNoFault() {
         Random random = new Random(44);
