--- a/gateway/src/main/java/org/sassafrastrail/gateway/BufferedBody.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/BufferedBody.java
@@ -24,6 +24,11 @@
         this.memory = memory;
     }
 
+    @Override
+    public BodyForm form() {
+        return streamed ? BodyForm.STREAMED : BodyForm.BUFFERED;
+    }
+
     @Override
     public boolean receive(ByteBuffer part) throws UnusableResponseException {
         if (streamed) {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -100,6 +100,16 @@
         return ResponseFraming.bodyEnd(exchange.getResponseHeaders());
     }
 
+    /** Returns how the body of the last upstream's response gets to the caller, empty if none has begun. */
+    Optional<BodyForm> bodyForm() {
+        return Optional.ofNullable(responseBody).map(ResponseBody::form);
+    }
+
+    /** Returns the identifier of the last event that was sent to the caller, empty if none was. */
+    Optional<String> lastEvent() {
+        return splitter.flatMap(EventStreamSplitter::lastIdentifier);
+    }
+
     /** Returns whether the connection closes after the response. */
     boolean isClosing() {
         return !exchange.isPersistent();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -259,6 +259,8 @@
                     call.outcome(),
                     call.bodyEnd(),
                     call.isClosing(),
+                    call.bodyForm(),
+                    call.lastEvent(),
                     call.timeToFirstByte(),
                     duration));
         }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamBody.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamBody.java
@@ -36,6 +36,11 @@
         this.onEvent = onEvent;
     }
 
+    @Override
+    public BodyForm form() {
+        return BodyForm.CHECKED_EVENTS;
+    }
+
     @Override
     public boolean receive(ByteBuffer part) throws UnusableResponseException {
         ByteBuffer events = ByteBuffer.wrap(splitter.completeEvents(part));
--- a/gateway/src/main/java/org/sassafrastrail/gateway/FailureBody.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/FailureBody.java
@@ -31,6 +31,11 @@
      */
     record StoredFailure(UpstreamResponseHead head, byte[] body) {}
 
+    @Override
+    public BodyForm form() {
+        return BodyForm.STORED_FAILURE;
+    }
+
     @Override
     public boolean receive(ByteBuffer part) throws UnusableResponseException {
         int size = buffered.size() + part.remaining();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/FinishedCall.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/FinishedCall.java
@@ -14,6 +14,8 @@
  * @param outcome the outcome of the exchange
  * @param bodyEnd what marks the end of the response body
  * @param closing whether the connection closes after the response
+ * @param bodyForm how the body of the last upstream's response got to the caller, empty if none began
+ * @param lastEvent the identifier of the last event that the caller was sent, empty if none was
  * @param timeToFirstByte the time from arrival until an upstream began to respond, empty if none did
  * @param duration the time from arrival to the end of the exchange
  */
@@ -23,5 +25,7 @@
         ExchangeOutcome outcome,
         ResponseFraming.BodyEnd bodyEnd,
         boolean closing,
+        Optional<BodyForm> bodyForm,
+        Optional<String> lastEvent,
         Optional<Duration> timeToFirstByte,
         Duration duration) {}
--- a/gateway/src/main/java/org/sassafrastrail/gateway/LoggingCallRecorder.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/LoggingCallRecorder.java
@@ -103,6 +103,8 @@
                 LogField.of("ending", call.outcome()),
                 LogField.of("body-end", call.bodyEnd()),
                 LogField.of("closing", call.closing()),
+                LogField.of("body", call.bodyForm().map(BodyForm::name).orElse(NONE)),
+                LogField.of("last-event", call.lastEvent().orElse(NONE)),
                 LogField.of(
                         "first-ms",
                         call.timeToFirstByte()
--- a/gateway/src/main/java/org/sassafrastrail/gateway/ResponseBody.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/ResponseBody.java
@@ -7,6 +7,9 @@
 /** The way in which the body of one upstream response gets to the caller. */
 interface ResponseBody {
 
+    /** Returns how the body gets to the caller. */
+    BodyForm form();
+
     /**
      * Takes a part of the body.
      *
--- a/gateway/src/main/java/org/sassafrastrail/gateway/StreamedBody.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/StreamedBody.java
@@ -15,6 +15,11 @@
         this.response = response;
     }
 
+    @Override
+    public BodyForm form() {
+        return BodyForm.STREAMED;
+    }
+
     @Override
     public boolean receive(ByteBuffer part) {
         return response.write(head, part);
