--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -185,11 +185,13 @@
         }
     }
 
+    /** The route says whether the body is a stream of events: what a faulty upstream says of its type proves nothing. */
     @Override
     public void responseStarted(UpstreamResponseHead started) {
         responseHead = started;
-        if (started.eventStream() && splitter.isPresent() && !isStorable(started)) {
-            responseBody = new EventStreamBody(started, response, splitter.get(), memory, this::reportStart);
+        if (splitter.isPresent() && started.isSuccess()) {
+            responseBody =
+                    new EventStreamBody(started.withoutLength(), response, splitter.get(), memory, this::reportStart);
         } else {
             responseBody = wholeBody(started);
             reportStart();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -166,23 +166,18 @@
         responseStarted = true;
         listener.responseStarted(new UpstreamResponseHead(
                 response.getResponseCode(),
-                callerHeaders(headers, framing.get(), facts.eventStream()),
+                callerHeaders(headers, framing.get()),
                 kind,
                 framing.get().length(),
                 !endsWithConnection(framing.get()),
-                facts.eventStream(),
                 protocol.readReportedLoad(headers)));
         source.getReadSetter().set(channel -> read());
         read();
     }
 
-    /** A stream of events gets no length, because another upstream may resume it. */
-    private HeaderMap callerHeaders(HeaderMap headers, BodyFraming framing, boolean eventStream) {
+    private HeaderMap callerHeaders(HeaderMap headers, BodyFraming framing) {
         HeaderMap forwarded = protocol.callerResponseHeaders(headers);
         framing.applyTo(forwarded);
-        if (eventStream) {
-            forwarded.remove(Headers.CONTENT_LENGTH);
-        }
         return forwarded;
     }
 
