End lines of a stream where its readers do, and take no event without data (ORDER)

What callers saw: an event without an identifier after a sound one, from an upstream that sends garbage, in a stream with the right type.

Cause: a client of event streams ends a line at LF, CR or both. The splitter looked for an empty line that ends with LF, and the parser left empty lines aside. So garbage that ends its lines with CR stood in one event with what followed, whose identifier made up for its own: one event here, two at the caller.

Change: the splitter ends an event at the first empty line, whatever ends it. An event has data: one without is none to a client of event streams, and its identifier would count as received.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/EventParser.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/EventParser.java
@@ -7,12 +7,13 @@
 import java.util.Optional;
 
 /**
- * Parses single events of a stream. An event consists of lines with a field name and a value, and has one identifier;
- * anything else comes from a faulty upstream.
+ * Parses single events of a stream. An event consists of lines with a field name and a value, and has one identifier and
+ * data; anything else comes from a faulty upstream.
  */
 final class EventParser {
 
     private static final String IDENTIFIER_FIELD = "id:";
+    private static final String DATA_FIELD = "data:";
 
     private EventParser() {}
 
@@ -28,7 +29,8 @@
                 .filter(line -> line.startsWith(IDENTIFIER_FIELD))
                 .map(line -> line.substring(IDENTIFIER_FIELD.length()).trim())
                 .toList();
-        return identifiers.size() == 1 && lines.stream().allMatch(EventParser::isField)
+        boolean hasData = lines.stream().anyMatch(line -> line.startsWith(DATA_FIELD));
+        return identifiers.size() == 1 && hasData && lines.stream().allMatch(EventParser::isField)
                 ? Optional.of(identifiers.get(0)).filter(identifier -> !identifier.isEmpty())
                 : Optional.empty();
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamSplitter.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamSplitter.java
@@ -72,10 +72,7 @@
 
     /** Line breaks before an event, or after the last one, belong to none. */
     private static boolean isBlank(ByteBuffer event) {
-        return StandardCharsets.ISO_8859_1
-                .decode(event.duplicate())
-                .chars()
-                .allMatch(character -> character == '\r' || character == '\n');
+        return StandardCharsets.ISO_8859_1.decode(event.duplicate()).chars().allMatch(EventStreamSplitter::isLineBreak);
     }
 
     /** Returns whether the incomplete event exceeds the size limit. */
@@ -115,15 +112,22 @@
         return lastIdentifier;
     }
 
-    /** Finds the end of the first event from an offset on: an empty line; lines end with LF or CRLF. Returns 0 for none. */
+    /** Finds the end of the first empty line from an offset on, 0 for none. A line ends with LF, CR or both. */
     private static int endOfEvent(byte[] all, int from) {
-        for (int index = from + 1; index < all.length; index++) {
-            if (all[index] == '\n'
-                    && (all[index - 1] == '\n'
-                            || index > from + 1 && all[index - 1] == '\r' && all[index - 2] == '\n')) {
-                return index + 1;
+        int lineStart = from;
+        for (int index = from; index < all.length; index++) {
+            if (isLineBreak(all[index])) {
+                boolean secondOfPair = all[index] == '\n' && index > from && all[index - 1] == '\r';
+                if (index == lineStart && !secondOfPair) {
+                    return index + 1;
+                }
+                lineStart = index + 1;
             }
         }
         return 0;
     }
+
+    private static boolean isLineBreak(int character) {
+        return character == '\r' || character == '\n';
+    }
 }
--- a/gateway/src/test/java/org/sassafrastrail/gateway/EventStreamSplitterTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/EventStreamSplitterTest.java
@@ -48,6 +48,14 @@
         }
     }
 
+    /** Guards against ORDER: what is two events to callers, who end lines with CR too, was one here. */
+    @ParameterizedTest
+    @ValueSource(strings = {"id: 2\ndata: a\r\r", "id: 2\rdata: a\r\r", "id: 2\r\ndata: a\r\r"})
+    void garbageAfterEventThatEndsWithCarriageReturnIsNotForwarded(String event) {
+        assertThat(complete(FIRST + event + "data: garbage\n\n" + THIRD)).isEqualTo(FIRST + event);
+        assertThat(splitter.isGarbled()).isTrue();
+    }
+
     @Test
     void lineBreaksBetweenEventsBelongToNone() {
         assertThat(complete("\n\n" + FIRST + "\n\n\n" + SECOND + "\r\n")).startsWith("\n\n" + FIRST);
@@ -72,7 +80,12 @@
                 "id: 2x\ndata: two\n\n",
                 "id: -2\ndata: two\n\n",
                 "id: 99999999999999999999\ndata: two\n\n",
-                ": comment\n\n"
+                ": comment\n\n",
+                "data: two\r\r",
+                "id: 2\n\rdata: two\n\n",
+                "id: 2\n\n",
+                "data: two\n\r\n",
+                "garbage\r\n\r"
             })
     void nothingIsForwardedFromGarbageOn(String garbage) {
         assertThat(complete(FIRST + garbage + SECOND + THIRD)).isEqualTo(FIRST);
