Keep to the limits that upstreams name on their requests (LIMIT)

Cause: the limit in the head of a response was read nowhere. And no part of a limit that a gateway could keep by itself is right: at 22 gateways it is half a request a second.

Change: the limit is read in a response that names its request, one decimal number or nothing. Gateways tell each other at once. For each limited upstream, one of the connected gateways issues permits, one a request, from a token bucket that holds a quarter of a second; the others ask it when a request would go there, and send it elsewhere if none is to be had. Unused permits expire. Gateways that see a minority of the others, or don't see themselves as the issuer, issue an equal part only. A limit ends with a response, to a request sent since it was last named, that names none; an upstream that takes nothing still gets a request every four seconds, so that it can say so. A request that the limits of all upstreams leave no place is refused at once, with the time after which to return. Not taken: equal parts (less than a request a second), parts by demand from reports (a burst of one request a gateway is more than the limit allows at 360), a count of what all sent (all gateways see the same room at once).

--- a/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
@@ -2,7 +2,12 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import org.sassafrastrail.decision.Transition;
 import org.sassafrastrail.model.RefusalReason;
@@ -14,6 +19,8 @@
     /** The part of a time to return by which it is extended at most. */
     private static final double MAX_SPREAD_SHARE = 0.25;
 
+    private static final double NANOSECONDS_IN_SECOND = 1e9;
+
     private final GatewayLimits limits;
     private final Scheduler scheduler;
 
@@ -42,7 +49,32 @@
                                 now));
         return scheduler
                 .dispatchOnArrival(recorded.with(call), call, now)
-                .and(next -> refuseIfPaused(next, call.number(), now));
+                .and(next -> refuseIfPaused(next, call.number(), now))
+                .and(next -> refuseBeyondLimits(next, call.target(), now));
+    }
+
+    /**
+     * Refuses the request that would be dispatched last, if upstreams' limits leave less within its wait than all gateways
+     * could send if this one sent everything.
+     */
+    private Transition<GatewayState, GatewayAction> refuseBeyondLimits(
+            GatewayState state, TargetName target, Instant now) {
+        OptionalDouble limit = scheduler.limitOfTarget(state, target, now);
+        if (limit.isEmpty()) {
+            return Transition.to(state);
+        }
+        List<Call> queued = SchedulingOrder.of(state, target, now)
+                .map(SchedulingOrder.QueuedCall::call)
+                .toList();
+        return queued.stream()
+                .reduce((earlier, later) -> later)
+                .filter(last -> queued.size() - 1 > limit.getAsDouble() * maxQueueingSeconds(last) + 1)
+                .map(last -> refuse(state, last, RefusalReason.UPSTREAMS_LIMITED, now))
+                .orElseGet(() -> Transition.to(state));
+    }
+
+    private double maxQueueingSeconds(Call call) {
+        return maxQueueingNanoseconds(call) / NANOSECONDS_IN_SECOND;
     }
 
     Transition<GatewayState, GatewayAction> callerDisconnected(
@@ -105,19 +137,26 @@
     }
 
     private boolean isQueuedTooLong(Call call, Instant now) {
-        double maxNanos = call.description().route().latencyTarget().toNanos() * limits.maxQueueingShare();
-        return Duration.between(call.queuedSince(), now).toNanos() > maxNanos;
+        return Duration.between(call.queuedSince(), now).toNanos() > maxQueueingNanoseconds(call);
     }
 
-    /** Refuses a request if it is queued and every upstream is paused for longer than it may wait. */
+    private double maxQueueingNanoseconds(Call call) {
+        return call.description().route().latencyTarget().toNanos() * limits.maxQueueingShare();
+    }
+
+    /** Refuses a request if it is queued and every upstream is paused, or at its limit, for longer than it may wait. */
     Transition<GatewayState, GatewayAction> refuseIfPaused(GatewayState state, long number, Instant now) {
         return state.call(number)
                 .filter(Call::isQueued)
                 .filter(call -> isPausedTooLong(state, call, now))
-                .map(call -> refuse(state, call, RefusalReason.UPSTREAMS_PAUSED, now))
+                .map(call -> refuse(state, call, reasonOfPause(state), now))
                 .orElseGet(() -> Transition.to(state));
     }
 
+    private static RefusalReason reasonOfPause(GatewayState state) {
+        return state.pauses().isEmpty() ? RefusalReason.UPSTREAMS_LIMITED : RefusalReason.UPSTREAMS_PAUSED;
+    }
+
     /**
      * Refuses the queued requests of a target for which every upstream is paused for longer than they may wait. They are told
      * to return when the first pause has ended.
@@ -164,12 +203,27 @@
         if (reason == RefusalReason.UPSTREAM_CRASHES) {
             return limits.crashRetention();
         }
-        return scheduler
-                .pausedUntil(state, call.target(), Set.of(), now)
-                .map(end -> spread(Duration.between(now, end), call))
+        Optional<Duration> untilEndOfPause =
+                scheduler.pausedUntil(state, call.target(), Set.of(), now).map(end -> Duration.between(now, end));
+        return Stream.concat(untilEndOfPause.stream(), backlogTime(state, call, now).stream())
+                .max(Comparator.naturalOrder())
+                .map(time -> spread(time, call))
                 .orElse(limits.retryAfter());
     }
 
+    /** Returns how long the requests that wait here keep all upstreams at their limits, empty if one has no limit. */
+    private Optional<Duration> backlogTime(GatewayState state, Call call, Instant now) {
+        OptionalDouble limit = scheduler.limitOfTarget(state, call.target(), now);
+        if (limit.isEmpty()) {
+            return Optional.empty();
+        }
+        long queued = state.queuedCalls()
+                .filter(other -> other.target().equals(call.target()))
+                .count();
+        Duration time = Duration.ofNanos(Math.round(queued / limit.getAsDouble() * NANOSECONDS_IN_SECOND));
+        return Optional.of(time.compareTo(limits.retryAfter()) > 0 ? time : limits.retryAfter());
+    }
+
     /** Extends the time until the end of a pause by up to a part of it, so that callers do not return all at once. */
     private static Duration spread(Duration time, Call call) {
         long extra = Math.round(time.toMillis() * MAX_SPREAD_SHARE);
--- a/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
@@ -135,7 +135,8 @@
             GatewayState state, GatewayEvent.PeerConnected event, Instant now) {
         return Transition.to(state.with(state.peers().withConnected(event.peer()))
                 .with(state.crashes().asUnshared())
-                .with(state.drainNotices().asUnshared()));
+                .with(state.drainNotices().asUnshared())
+                .with(state.rateLimits().asUnshared()));
     }
 
     Transition<GatewayState, GatewayAction> peerReportReceived(
--- a/gate-core/src/main/java/org/sassafrastrail/gate/FleetView.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/FleetView.java
@@ -1,6 +1,8 @@
 package org.sassafrastrail.gate;
 
 import org.sassafrastrail.gate.crash.CrashEvidence;
+import org.sassafrastrail.gate.limit.Permits;
+import org.sassafrastrail.gate.limit.RateLimits;
 
 /**
  * What a gateway knows together with the other gateways.
@@ -9,22 +11,38 @@
  * @param shares the tokens recently requested by and served to each client account over the fleet
  * @param crashes what is known of crashes of upstreams
  * @param drainNotices the upstreams that said that they are draining
+ * @param rateLimits the limits that upstreams named on their requests
+ * @param permits the permits for upstreams with a limit
  */
-record FleetView(Peers peers, AccountShares shares, CrashEvidence crashes, DrainNotices drainNotices) {
+record FleetView(
+        Peers peers,
+        AccountShares shares,
+        CrashEvidence crashes,
+        DrainNotices drainNotices,
+        RateLimits rateLimits,
+        Permits permits) {
 
     FleetView with(Peers next) {
-        return new FleetView(next, shares, crashes, drainNotices);
+        return new FleetView(next, shares, crashes, drainNotices, rateLimits, permits);
     }
 
     FleetView with(AccountShares next) {
-        return new FleetView(peers, next, crashes, drainNotices);
+        return new FleetView(peers, next, crashes, drainNotices, rateLimits, permits);
     }
 
     FleetView with(CrashEvidence next) {
-        return new FleetView(peers, shares, next, drainNotices);
+        return new FleetView(peers, shares, next, drainNotices, rateLimits, permits);
     }
 
     FleetView with(DrainNotices next) {
-        return new FleetView(peers, shares, crashes, next);
+        return new FleetView(peers, shares, crashes, next, rateLimits, permits);
+    }
+
+    FleetView with(RateLimits next) {
+        return new FleetView(peers, shares, crashes, drainNotices, next, permits);
+    }
+
+    FleetView with(Permits next) {
+        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, next);
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Set;
 
+import org.sassafrastrail.gate.crash.UpstreamIncarnation;
+import org.sassafrastrail.gate.limit.LimitReport;
 import org.sassafrastrail.model.RefusalReason;
 
 /** An action that a gateway's decision asks to be carried out. */
@@ -124,6 +126,39 @@
      */
     record ShareDrainNotices(List<DrainReport> reports) implements GatewayAction {}
 
+    /**
+     * Tell the other gateways which limits upstreams named.
+     *
+     * @param reports the limits
+     */
+    record ShareRateLimits(List<LimitReport> reports) implements GatewayAction {}
+
+    /**
+     * Ask another gateway for a permit to send one request to a limited upstream.
+     *
+     * @param gateway the name of the other gateway
+     * @param limit what this gateway knows of the limit
+     */
+    record RequestPermit(String gateway, LimitReport limit) implements GatewayAction {}
+
+    /**
+     * Answer another gateway's question for a permit.
+     *
+     * @param gateway the name of the other gateway
+     * @param upstream the upstream
+     * @param granted whether the permit is granted
+     * @param delay the time until another one can be had, if it is not
+     */
+    record AnswerPermitRequest(String gateway, UpstreamIncarnation upstream, boolean granted, Duration delay)
+            implements GatewayAction {}
+
+    /**
+     * Count that a request was not sent to an upstream because of its limit.
+     *
+     * @param upstream the upstream
+     */
+    record ReportHeldBack(UpstreamIdentifier upstream) implements GatewayAction {}
+
     /**
      * Log that requests with a set of prompt parts are refused, or are no longer, because upstreams crash under them.
      *
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
@@ -18,7 +18,9 @@
      * @param limits the limits for its decisions
      */
     public GatewayCore(GatewayLimits limits) {
-        Scheduler scheduler = new Scheduler(limits, new CacheAffinityPlacement(limits), new LeastRequestPlacement());
+        PermitOffice permits = new PermitOffice();
+        Scheduler scheduler =
+                new Scheduler(limits, permits, new CacheAffinityPlacement(limits), new LeastRequestPlacement());
         CallHandler calls = new CallHandler(limits, scheduler);
         CrashHandler crashes =
                 new CrashHandler(limits, new RecurringPartAttribution(limits.minCrashesOfCause()), calls);
@@ -27,7 +29,8 @@
         PauseHandler pauses = new PauseHandler(calls);
         VersionMoveHandler versionMoves = new VersionMoveHandler();
         DrainNoticeHandler drainNotices = new DrainNoticeHandler();
-        TickHandler ticks = new TickHandler(limits, calls, crashes, drainNotices, scheduler);
+        RateLimitHandler rateLimits = new RateLimitHandler(permits, calls, scheduler);
+        TickHandler ticks = new TickHandler(limits, calls, crashes, drainNotices, rateLimits, scheduler);
         this.handlers = EventRouter.<GatewayState, GatewayEvent, GatewayAction>over(GatewayEvent.class)
                 .on(GatewayEvent.CallArrived.class, calls::callArrived)
                 .on(GatewayEvent.CallerDisconnected.class, calls::callerDisconnected)
@@ -43,6 +46,10 @@
                 .on(GatewayEvent.DrainNoticeReceived.class, drainNotices::noticeReceived)
                 .on(GatewayEvent.PeerDrainNoticesReceived.class, drainNotices::peerNoticesReceived)
                 .on(GatewayEvent.PauseRequested.class, pauses::pauseRequested)
+                .on(GatewayEvent.RateLimitHeard.class, rateLimits::limitHeard)
+                .on(GatewayEvent.PeerRateLimitsReceived.class, rateLimits::peerLimitsReceived)
+                .on(GatewayEvent.PermitRequested.class, rateLimits::permitRequested)
+                .on(GatewayEvent.PermitAnswered.class, rateLimits::permitAnswered)
                 .on(GatewayEvent.PeerDisconnected.class, clusterState::peerDisconnected)
                 .on(GatewayEvent.VersionMovesChanged.class, versionMoves::movesChanged)
                 .on(GatewayEvent.VersionRejected.class, versionMoves::versionRejected)
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
@@ -3,9 +3,12 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import org.pcollections.PMap;
 import org.pcollections.PSet;
+import org.sassafrastrail.gate.crash.UpstreamIncarnation;
+import org.sassafrastrail.gate.limit.LimitReport;
 import org.sassafrastrail.model.FailureDomainName;
 
 /** An event that a gateway decides on. */
@@ -125,6 +128,41 @@
      */
     record PauseRequested(Upstream upstream, Duration duration) implements GatewayEvent {}
 
+    /**
+     * An upstream named a limit on its requests in a response, or a limited one named none.
+     *
+     * @param call the request that it responded to
+     * @param attempt the attempt
+     * @param upstream the upstream
+     * @param requestsPerSecond the requests a second that it takes from all gateways together, empty if it names no limit
+     */
+    record RateLimitHeard(long call, int attempt, Upstream upstream, OptionalDouble requestsPerSecond)
+            implements GatewayEvent {}
+
+    /**
+     * Another gateway told which limits upstreams named.
+     *
+     * @param reports the limits
+     */
+    record PeerRateLimitsReceived(List<LimitReport> reports) implements GatewayEvent {}
+
+    /**
+     * Another gateway asked for a permit to send one request to a limited upstream.
+     *
+     * @param peer the name of the other gateway
+     * @param limit what it knows of the limit
+     */
+    record PermitRequested(String peer, LimitReport limit) implements GatewayEvent {}
+
+    /**
+     * Another gateway answered a question for a permit.
+     *
+     * @param upstream the upstream
+     * @param granted whether the permit was granted
+     * @param delay the time until another one can be had, if it was not
+     */
+    record PermitAnswered(UpstreamIncarnation upstream, boolean granted, Duration delay) implements GatewayEvent {}
+
     /**
      * The operators' orders to move to other versions changed.
      *
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -9,6 +9,9 @@
 import org.pcollections.PMap;
 import org.pcollections.PSet;
 import org.sassafrastrail.gate.crash.CrashEvidence;
+import org.sassafrastrail.gate.crash.UpstreamIncarnation;
+import org.sassafrastrail.gate.limit.Permits;
+import org.sassafrastrail.gate.limit.RateLimits;
 import org.sassafrastrail.model.FailureDomainName;
 import org.sassafrastrail.model.TargetName;
 
@@ -47,7 +50,9 @@
                         Peers.none(gateway),
                         AccountShares.forQuotaWindow(quotaWindow),
                         CrashEvidence.NONE,
-                        DrainNotices.NONE),
+                        DrainNotices.NONE,
+                        RateLimits.NONE,
+                        Permits.NONE),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
                 UpstreamPauses.NONE,
@@ -109,6 +114,24 @@
         return fleet.drainNotices();
     }
 
+    RateLimits rateLimits() {
+        return fleet.rateLimits();
+    }
+
+    Permits permits() {
+        return fleet.permits();
+    }
+
+    /**
+     * Returns whether an upstream has named a limit on its requests that is in force.
+     *
+     * @param upstream the upstream
+     * @return whether it has
+     */
+    public boolean isLimited(UpstreamIncarnation upstream) {
+        return rateLimits().inForce(upstream).isPresent();
+    }
+
     /**
      * Returns whether the gateway is ready for new callers.
      *
@@ -202,6 +225,14 @@
         return next == drainNotices() ? this : with(fleet.with(next));
     }
 
+    GatewayState with(RateLimits next) {
+        return next == rateLimits() ? this : with(fleet.with(next));
+    }
+
+    GatewayState with(Permits next) {
+        return next == permits() ? this : with(fleet.with(next));
+    }
+
     GatewayState with(TargetName target, RetryBudget next) {
         return new GatewayState(
                 cluster, openCalls, fleet, retryBudgets.plus(target, next), versionTrials, pauses, stoppingSince);
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Peers.java
@@ -1,6 +1,7 @@
 package org.sassafrastrail.gate;
 
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -108,6 +109,28 @@
         return total / members.size() + (before < total % members.size() ? 1 : 0);
     }
 
+    /**
+     * Returns the connected gateway that issues what all gateways share of something. Gateways that are connected to the same
+     * ones agree on it.
+     *
+     * @param key what is shared
+     */
+    String issuer(String key) {
+        return Stream.concat(Stream.of(self), reports.keySet().stream())
+                .min(Comparator.<String>comparingLong(gateway -> rankingHash(gateway, key))
+                        .thenComparing(Comparator.naturalOrder()))
+                .orElseThrow();
+    }
+
+    boolean isSelf(String gateway) {
+        return self.equals(gateway);
+    }
+
+    /** Returns whether this gateway is connected to so many that no others can be among themselves. */
+    boolean isMajorityConnected() {
+        return 2 * connectedGateways() > gateways();
+    }
+
     private static long rankingHash(String gateway, String key) {
         return StableHash.combine(StableHash.of(gateway), StableHash.of(key));
     }
--- /dev/null
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/PermitOffice.java
@@ -0,0 +1,88 @@
+package org.sassafrastrail.gate;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.gate.crash.UpstreamIncarnation;
+import org.sassafrastrail.gate.limit.NamedLimit;
+import org.sassafrastrail.gate.limit.PermitStock;
+import org.sassafrastrail.gate.limit.Permits;
+
+/**
+ * Issues and asks for permits, one a request, for upstreams with a limit. Of the connected gateways one issues those of an
+ * upstream, by rendezvous hashing. A gateway that doesn't see itself in that place, or sees only a minority of the gateways,
+ * issues no more than its equal part, so that the permits of a fleet that is split add up to little more than the limit.
+ */
+final class PermitOffice {
+
+    /** Returns whether a request can be sent to an upstream; one without a limit is always open. */
+    PermitStock.Status status(GatewayState state, Upstream upstream, Instant now) {
+        UpstreamIncarnation incarnation = upstream.incarnation();
+        return state.rateLimits().inForce(incarnation).isEmpty()
+                ? PermitStock.Status.OPEN
+                : state.permits().stock(incarnation).status(now);
+    }
+
+    /** Returns until when no permit for an upstream can be had, empty if one can be asked for or none is needed. */
+    Optional<Instant> closedUntil(GatewayState state, Upstream upstream, Instant now) {
+        return status(state, upstream, now) == PermitStock.Status.CLOSED
+                ? Optional.of(state.permits().stock(upstream.incarnation()).availableAt())
+                : Optional.empty();
+    }
+
+    /** Uses the permit for a request, if the upstream has a limit. */
+    GatewayState used(GatewayState state, Upstream upstream) {
+        UpstreamIncarnation incarnation = upstream.incarnation();
+        return state.rateLimits().inForce(incarnation).isEmpty()
+                ? state
+                : state.with(state.permits()
+                        .with(incarnation, state.permits().stock(incarnation).used()));
+    }
+
+    /** Asks for a permit, of another gateway or of this one itself. */
+    Transition<GatewayState, GatewayAction> ask(GatewayState state, Upstream upstream, Instant now) {
+        UpstreamIncarnation incarnation = upstream.incarnation();
+        String issuer = state.peers().issuer(incarnation.upstream());
+        if (state.peers().isSelf(issuer)) {
+            Permits.Answer answer = issue(state, incarnation, now);
+            return answered(state.with(answer.permits()), upstream, answer.granted(), answer.delay(), now);
+        }
+        PermitStock asked = state.permits().stock(incarnation).asked(now);
+        return Transition.<GatewayState, GatewayAction>to(
+                        state.with(state.permits().with(incarnation, asked)))
+                .then(new GatewayAction.RequestPermit(issuer, state.rateLimits().report(incarnation, now)));
+    }
+
+    /** Takes note of the answer to a question for a permit. */
+    Transition<GatewayState, GatewayAction> answered(
+            GatewayState state, Upstream upstream, boolean granted, Duration delay, Instant now) {
+        UpstreamIncarnation incarnation = upstream.incarnation();
+        PermitStock stock = state.permits().stock(incarnation).answered(granted, delay, now);
+        Transition<GatewayState, GatewayAction> next =
+                Transition.to(state.with(state.permits().with(incarnation, stock)));
+        return granted ? next : next.then(new GatewayAction.ReportHeldBack(upstream.identifier()));
+    }
+
+    /** Answers a peer's question. */
+    Transition<GatewayState, GatewayAction> answer(
+            GatewayState state, String peer, UpstreamIncarnation upstream, Instant now) {
+        Permits.Answer answer = issue(state, upstream, now);
+        return Transition.<GatewayState, GatewayAction>to(state.with(answer.permits()))
+                .then(new GatewayAction.AnswerPermitRequest(peer, upstream, answer.granted(), answer.delay()));
+    }
+
+    private static Permits.Answer issue(GatewayState state, UpstreamIncarnation upstream, Instant now) {
+        double limit = state.rateLimits()
+                .inForce(upstream)
+                .map(NamedLimit::permitsPerSecond)
+                .orElse(Double.POSITIVE_INFINITY);
+        return state.permits().issue(upstream, limit * issuedPart(state.peers(), upstream), now);
+    }
+
+    private static double issuedPart(Peers peers, UpstreamIncarnation upstream) {
+        boolean issuesAll = peers.isSelf(peers.issuer(upstream.upstream())) && peers.isMajorityConnected();
+        return issuesAll ? 1 : 1.0 / peers.gateways();
+    }
+}
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -5,9 +5,12 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.gate.limit.NamedLimit;
 import org.sassafrastrail.model.TargetName;
 
 /** Dispatches queued requests to eligible upstreams, those of the account with the fewest served tokens first. */
@@ -16,11 +19,13 @@
     private static final double FULL_SHARE = 1;
 
     private final GatewayLimits limits;
+    private final PermitOffice permits;
     private final Placement cacheAffinity;
     private final Placement leastRequest;
 
-    Scheduler(GatewayLimits limits, Placement cacheAffinity, Placement leastRequest) {
+    Scheduler(GatewayLimits limits, PermitOffice permits, Placement cacheAffinity, Placement leastRequest) {
         this.limits = limits;
+        this.permits = permits;
         this.cacheAffinity = cacheAffinity;
         this.leastRequest = leastRequest;
     }
@@ -71,8 +76,10 @@
      * reconsidered, because an arrival does not change their chances.
      */
     Transition<GatewayState, GatewayAction> dispatchOnArrival(GatewayState state, Call call, Instant now) {
-        return dispatch(state, call, candidates(state, call.target(), now), capacityShare(state, call, now), now)
-                .orElseGet(() -> Transition.to(state));
+        return Transition.<GatewayState, GatewayAction>to(state).whilePossible(next -> next.call(call.number())
+                .filter(Call::isQueued)
+                .flatMap(queued -> dispatch(
+                        next, queued, candidates(next, call.target(), now), capacityShare(next, call, now), now)));
     }
 
     private double capacityShare(GatewayState state, Call call, Instant now) {
@@ -86,7 +93,18 @@
                         call,
                         candidates.untriedBy(call),
                         new Placement.CapacityAllowance(state.peers().loadFactor(), share))
-                .map(choice -> dispatch(state, call, choice, now));
+                .flatMap(choice -> dispatchIfPermitted(state, call, choice, now));
+    }
+
+    /** Dispatches the request, or asks for the permit that the upstream's limit requires. Returns empty while it is asked for. */
+    private Optional<Transition<GatewayState, GatewayAction>> dispatchIfPermitted(
+            GatewayState state, Call call, Placement.Choice choice, Instant now) {
+        Upstream upstream = choice.candidate().upstream().upstream();
+        return switch (permits.status(state, upstream, now)) {
+            case OPEN -> Optional.of(dispatch(state, call, choice, now));
+            case ASKABLE -> Optional.of(permits.ask(state, upstream, now));
+            case ASKED, CLOSED -> Optional.empty();
+        };
     }
 
     private Placement placement(Call call) {
@@ -148,33 +166,67 @@
 
     private boolean isEligible(GatewayState state, UpstreamState upstream, TargetName target, Instant now) {
         return isAvailable(state, upstream, target, now)
-                && state.pauses().allows(upstream, state.peers().gateways(), now);
+                && state.pauses().allows(upstream, state.peers().gateways(), now)
+                && permits.closedUntil(state, upstream.upstream(), now).isEmpty();
     }
 
     /**
-     * Returns when the first upstream of a target takes requests again, if all of them have asked for a pause.
+     * Returns when the first upstream of a target takes requests again, if all of them have asked for a pause or are at their
+     * limits.
      *
      * @param state the state
      * @param target the target
      * @param tried the upstreams that are left aside
      * @param now the time
-     * @return the earliest end of a pause, empty if an upstream is not paused or none is available
+     * @return the earliest end of a pause, empty if an upstream takes requests or none is available
      */
     Optional<Instant> pausedUntil(GatewayState state, TargetName target, Set<UpstreamIdentifier> tried, Instant now) {
-        if (state.pauses().isEmpty()) {
+        if (state.pauses().isEmpty() && state.rateLimits().isEmpty()) {
             return Optional.empty();
         }
         List<Optional<Instant>> ends = state.upstreams().values().stream()
                 .filter(upstream -> isAvailable(state, upstream, target, now))
                 .map(UpstreamState::upstream)
                 .filter(upstream -> !tried.contains(upstream.identifier()))
-                .map(upstream -> state.pauses().pausedUntil(upstream.incarnation(), now))
+                .map(upstream -> unavailableUntil(state, upstream, now))
                 .toList();
         return ends.stream().allMatch(Optional::isPresent)
                 ? ends.stream().flatMap(Optional::stream).min(Comparator.naturalOrder())
                 : Optional.empty();
     }
 
+    private Optional<Instant> unavailableUntil(GatewayState state, Upstream upstream, Instant now) {
+        return Stream.of(
+                        state.pauses().pausedUntil(upstream.incarnation(), now),
+                        permits.closedUntil(state, upstream, now))
+                .flatMap(Optional::stream)
+                .max(Comparator.naturalOrder());
+    }
+
+    /**
+     * Returns the requests a second that the upstreams of a target take from all gateways, if each of them has a limit.
+     *
+     * @param state the state
+     * @param target the target
+     * @param now the time
+     * @return the sum of the limits, empty if an upstream has none or none is available
+     */
+    OptionalDouble limitOfTarget(GatewayState state, TargetName target, Instant now) {
+        if (state.rateLimits().isEmpty()) {
+            return OptionalDouble.empty();
+        }
+        List<Optional<NamedLimit>> upstreamLimits = state.upstreams().values().stream()
+                .filter(upstream -> isAvailable(state, upstream, target, now))
+                .map(upstream -> state.rateLimits().inForce(upstream.upstream().incarnation()))
+                .toList();
+        return !upstreamLimits.isEmpty() && upstreamLimits.stream().allMatch(Optional::isPresent)
+                ? OptionalDouble.of(upstreamLimits.stream()
+                        .flatMap(Optional::stream)
+                        .mapToDouble(NamedLimit::permitsPerSecond)
+                        .sum())
+                : OptionalDouble.empty();
+    }
+
     /** Returns whether an upstream takes requests of a target, but for a pause that it may have asked for. */
     private boolean isAvailable(GatewayState state, UpstreamState upstream, TargetName target, Instant now) {
         Upstream entry = upstream.upstream();
@@ -237,7 +289,8 @@
                 choice.prefillTokens());
         GatewayState next =
                 recorded.with(dispatched).with(choice.candidate().upstream().dispatched(attempt, now));
-        return Transition.<GatewayState, GatewayAction>to(VersionMoveHandler.dispatched(next, attempt.upstream()))
+        return Transition.<GatewayState, GatewayAction>to(
+                        permits.used(VersionMoveHandler.dispatched(next, attempt.upstream()), attempt.upstream()))
                 .then(action);
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
@@ -13,6 +13,7 @@
     private final CallHandler calls;
     private final CrashHandler crashes;
     private final DrainNoticeHandler drainNotices;
+    private final RateLimitHandler rateLimits;
     private final Scheduler scheduler;
 
     TickHandler(
@@ -20,11 +21,13 @@
             CallHandler calls,
             CrashHandler crashes,
             DrainNoticeHandler drainNotices,
+            RateLimitHandler rateLimits,
             Scheduler scheduler) {
         this.limits = limits;
         this.calls = calls;
         this.crashes = crashes;
         this.drainNotices = drainNotices;
+        this.rateLimits = rateLimits;
         this.scheduler = scheduler;
     }
 
@@ -32,11 +35,12 @@
         GatewayState updated = state.with(state.shares().withUpdatedLevels(configuredCapacity(state), now))
                 .with(state.drainNotices().withoutExpired(now))
                 .with(state.pauses().withoutEnded(now));
-        return crashes.attribute(updated, now)
+        return crashes.attribute(RateLimitHandler.withoutExpired(updated, now), now)
                 .and(next -> scheduler.dispatchAll(next, now))
                 .and(next -> calls.expire(next, now))
                 .and(VersionMoveHandler::rejectWorseVersions)
                 .and(next -> endEjections(next, now))
+                .and(next -> rateLimits.share(next, now))
                 .and(next -> reportToPeers(next, now))
                 .and(next -> checkDrained(next, now));
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/UpstreamStatus.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/UpstreamStatus.java
@@ -14,6 +14,10 @@
     EJECTED,
     /** The upstream wants no requests for some time. */
     PAUSED,
+    /** The upstream named a limit on its requests, or another one than before. */
+    LIMITED,
+    /** The upstream has no limit on its requests any more. */
+    LIMIT_OVER,
     /** The ejection of the upstream has ended. */
     BACK
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/AttemptListener.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/AttemptListener.java
@@ -13,6 +13,9 @@
     /** The head of any response of the upstream arrived, also of one that is not usable. */
     void noticeReceived(UpstreamNotice notice);
 
+    /** The head of a response to this request arrived, also of one that is not usable. */
+    void rateLimitReceived(RateLimitNotice notice);
+
     /** The head of a usable response arrived; the body follows. */
     void responseStarted(UpstreamResponseHead head);
 
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallRecorder.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallRecorder.java
@@ -54,6 +54,13 @@
      */
     void pauseIgnored(Upstream upstream);
 
+    /**
+     * An upstream named a limit on its requests in a form that cannot be understood.
+     *
+     * @param upstream the upstream
+     */
+    void rateLimitIgnored(Upstream upstream);
+
     /**
      * The exchange with a caller ended.
      *
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -6,6 +6,7 @@
 import java.time.Instant;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.StatusCodes;
@@ -34,6 +35,7 @@
     private final CallRecorder recorder;
     private final ResponseMemory memory;
     private final UnavailableUpstreams unavailable;
+    private final Predicate<Upstream> limited;
     private final Clock clock;
     private final Optional<EventStreamSplitter> splitter;
     private final CallerResponse response;
@@ -69,6 +71,7 @@
         this.recorder = recorder;
         this.memory = new ResponseMemory(upstreams.responseBuffers());
         this.unavailable = upstreams.unavailable();
+        this.limited = upstreams.limited();
         this.clock = clock;
         this.splitter = description.route().streaming() ? Optional.of(new EventStreamSplitter()) : Optional.empty();
         this.response = new CallerResponse(exchange, () -> attempt.resume(), this::callerDisconnected);
@@ -185,6 +188,17 @@
         }
     }
 
+    /** A response without a limit matters only from an upstream that had one. */
+    @Override
+    public void rateLimitReceived(RateLimitNotice notice) {
+        if (notice.invalid()) {
+            recorder.rateLimitIgnored(upstream);
+        } else if (notice.requestsPerSecond().isPresent() || limited.test(upstream)) {
+            events.accept(
+                    new GatewayEvent.RateLimitHeard(callNumber, attemptNumber, upstream, notice.requestsPerSecond()));
+        }
+    }
+
     /** The route says whether the body is a stream of events: what a faulty upstream says of its type proves nothing. */
     @Override
     public void responseStarted(UpstreamResponseHead started) {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -206,7 +206,10 @@
 
     private UpstreamResources createUpstreamResources(XnioIoThread thread) {
         return new UpstreamResources(
-                new UpstreamConnectionPool(thread, buffers), responseBuffers, new UnavailableUpstreams(clock));
+                new UpstreamConnectionPool(thread, buffers),
+                responseBuffers,
+                new UnavailableUpstreams(clock),
+                upstream -> state.get().isLimited(upstream.incarnation()));
     }
 
     int connectionCount() {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerProtocol.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerProtocol.java
@@ -62,6 +62,14 @@
      */
     UpstreamNotice readNotice(int status, HeaderMap headers);
 
+    /**
+     * Reads what the head of a response says of a limit on the requests of its upstream.
+     *
+     * @param headers the response headers
+     * @return the notice
+     */
+    RateLimitNotice readRateLimit(HeaderMap headers);
+
     /**
      * Builds the headers of a response to a caller.
      *
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
@@ -66,6 +66,14 @@
             peers.shareCrashes(share.crashes());
         } else if (action instanceof GatewayAction.ShareDrainNotices share) {
             peers.shareDrainNotices(share.reports());
+        } else if (action instanceof GatewayAction.ShareRateLimits share) {
+            peers.shareRateLimits(share.reports());
+        } else if (action instanceof GatewayAction.RequestPermit request) {
+            peers.requestPermit(request);
+        } else if (action instanceof GatewayAction.AnswerPermitRequest answer) {
+            peers.answerPermitRequest(answer);
+        } else if (action instanceof GatewayAction.ReportHeldBack) {
+            metrics.count("held-back-by-rate-limit", 1);
         } else if (action instanceof GatewayAction.ReportCrashCause cause) {
             recordCrashCause(cause);
         } else if (action instanceof GatewayAction.RejectVersion reject) {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/LoggingCallRecorder.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/LoggingCallRecorder.java
@@ -88,6 +88,12 @@
         log.debug("pause-ignored", LogField.of("upstream", upstream.identifier()));
     }
 
+    @Override
+    public void rateLimitIgnored(Upstream upstream) {
+        metrics.count("rate-limits-ignored", 1);
+        log.debug("rate-limit-ignored", LogField.of("upstream", upstream.identifier()));
+    }
+
     @Override
     public void finished(FinishedCall call) {
         String route = call.description().route().name();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -13,15 +13,20 @@
 import org.sassafrastrail.durable.WatchedTable;
 import org.sassafrastrail.gate.CrashReport;
 import org.sassafrastrail.gate.DrainReport;
+import org.sassafrastrail.gate.GatewayAction;
 import org.sassafrastrail.gate.GatewayEvent;
 import org.sassafrastrail.gate.GatewayReport;
+import org.sassafrastrail.gate.limit.LimitReport;
 import org.sassafrastrail.messages.CopiedRow;
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.CrashUpdate;
 import org.sassafrastrail.messages.DrainUpdate;
 import org.sassafrastrail.messages.Hello;
+import org.sassafrastrail.messages.LimitUpdate;
 import org.sassafrastrail.messages.LoadReport;
 import org.sassafrastrail.messages.Message;
+import org.sassafrastrail.messages.PermitAnswer;
+import org.sassafrastrail.messages.PermitRequest;
 import org.sassafrastrail.messages.TableCopy;
 import org.sassafrastrail.model.Incarnation;
 import org.sassafrastrail.model.NodeName;
@@ -156,6 +161,25 @@
         sendToAll(DrainUpdateMapper.toMessage(reports));
     }
 
+    @Override
+    public void shareRateLimits(List<LimitReport> reports) {
+        sendToAll(RateLimitMapper.toMessage(reports));
+    }
+
+    @Override
+    public void requestPermit(GatewayAction.RequestPermit request) {
+        sendTo(request.gateway(), RateLimitMapper.toMessage(request));
+    }
+
+    @Override
+    public void answerPermitRequest(GatewayAction.AnswerPermitRequest answer) {
+        sendTo(answer.gateway(), RateLimitMapper.toMessage(answer));
+    }
+
+    private void sendTo(String peer, Message message) {
+        links.getOrDefault(peer, List.of()).stream().findFirst().ifPresent(link -> link.send(message));
+    }
+
     private void sendToAll(Message message) {
         links.values().forEach(peer -> peer.stream().findFirst().ifPresent(link -> link.send(message)));
     }
@@ -177,6 +201,13 @@
             events.accept(new GatewayEvent.PeerCrashesReceived(CrashUpdateMapper.fromMessage(update)));
         } else if (message instanceof DrainUpdate update) {
             events.accept(new GatewayEvent.PeerDrainNoticesReceived(DrainUpdateMapper.fromMessage(update)));
+        } else if (message instanceof LimitUpdate update) {
+            events.accept(new GatewayEvent.PeerRateLimitsReceived(RateLimitMapper.fromMessage(update)));
+        } else if (message instanceof PermitRequest request && RateLimitMapper.isValid(request.upstream())) {
+            events.accept(new GatewayEvent.PermitRequested(
+                    link.peer().node().value(), RateLimitMapper.fromMessage(request.upstream())));
+        } else if (message instanceof PermitAnswer answer) {
+            events.accept(RateLimitMapper.fromMessage(answer));
         } else if (message instanceof CopyRequest request) {
             Optional.ofNullable(tables.get(request.table()))
                     .map(WatchedTable::snapshot)
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerNotifier.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerNotifier.java
@@ -4,7 +4,9 @@
 
 import org.sassafrastrail.gate.CrashReport;
 import org.sassafrastrail.gate.DrainReport;
+import org.sassafrastrail.gate.GatewayAction;
 import org.sassafrastrail.gate.GatewayReport;
+import org.sassafrastrail.gate.limit.LimitReport;
 
 /** Sends what this gateway has decided to tell its peers. */
 interface PeerNotifier {
@@ -17,4 +19,13 @@
 
     /** Tells all peers which upstreams said that they are draining. */
     void shareDrainNotices(List<DrainReport> reports);
+
+    /** Tells all peers which limits upstreams named. */
+    void shareRateLimits(List<LimitReport> reports);
+
+    /** Asks a peer for a permit. */
+    void requestPermit(GatewayAction.RequestPermit request);
+
+    /** Answers a peer's question for a permit. */
+    void answerPermitRequest(GatewayAction.AnswerPermitRequest answer);
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -145,6 +145,9 @@
         if (kind != ResponseKind.WRONG_UPSTREAM) {
             listener.noticeReceived(protocol.readNotice(response.getResponseCode(), headers));
         }
+        if (kind != ResponseKind.WRONG_UPSTREAM && facts.belongsTo(requestIdentifier)) {
+            listener.rateLimitReceived(protocol.readRateLimit(headers));
+        }
         if (UNUSABLE.contains(kind)) {
             fail(kind + ", status " + response.getResponseCode());
             return;
--- a/messages/src/main/java/org/sassafrastrail/messages/Message.java
+++ b/messages/src/main/java/org/sassafrastrail/messages/Message.java
@@ -18,4 +18,7 @@
                 CopyRequest,
                 TableCopy,
                 CrashUpdate,
-                DrainUpdate {}
+                DrainUpdate,
+                LimitUpdate,
+                PermitRequest,
+                PermitAnswer {}
--- a/model/src/main/java/org/sassafrastrail/model/RefusalReason.java
+++ b/model/src/main/java/org/sassafrastrail/model/RefusalReason.java
@@ -36,6 +36,8 @@
     UPSTREAM_CRASHES,
     /** Every upstream has asked for a pause that is longer than the request may wait. */
     UPSTREAMS_PAUSED,
+    /** The limits that all upstreams have named on their requests leave no place within the time that the request may wait. */
+    UPSTREAMS_LIMITED,
     /** Every upstream that was tried reported that it did not run the request, or was unreachable. */
     UPSTREAM_DECLINED
 }
--- a/router/src/main/java/org/sassafrastrail/router/Problems.java
+++ b/router/src/main/java/org/sassafrastrail/router/Problems.java
@@ -31,6 +31,7 @@
             Map.entry(RefusalReason.HELD_TOO_LONG, StatusCodes.SERVICE_UNAVAILABLE),
             Map.entry(RefusalReason.UPSTREAM_CRASHES, StatusCodes.SERVICE_UNAVAILABLE),
             Map.entry(RefusalReason.UPSTREAMS_PAUSED, StatusCodes.SERVICE_UNAVAILABLE),
+            Map.entry(RefusalReason.UPSTREAMS_LIMITED, StatusCodes.SERVICE_UNAVAILABLE),
             Map.entry(RefusalReason.UPSTREAM_DECLINED, StatusCodes.SERVICE_UNAVAILABLE));
 
     private Problems() {}
--- a/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
@@ -15,9 +15,12 @@
 import org.sassafrastrail.messages.Heartbeat;
 import org.sassafrastrail.messages.Hello;
 import org.sassafrastrail.messages.LedgerUpdate;
+import org.sassafrastrail.messages.LimitUpdate;
 import org.sassafrastrail.messages.LoadReport;
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.messages.MoveUpdate;
+import org.sassafrastrail.messages.PermitAnswer;
+import org.sassafrastrail.messages.PermitRequest;
 import org.sassafrastrail.messages.RulesAnnouncement;
 import org.sassafrastrail.messages.RulesRequest;
 import org.sassafrastrail.messages.TableCopy;
@@ -40,7 +43,10 @@
     COPY_REQUEST(14, CopyRequest.class),
     TABLE_COPY(15, TableCopy.class),
     CRASH_UPDATE(16, CrashUpdate.class),
-    DRAIN_UPDATE(17, DrainUpdate.class);
+    DRAIN_UPDATE(17, DrainUpdate.class),
+    LIMIT_UPDATE(18, LimitUpdate.class),
+    PERMIT_REQUEST(19, PermitRequest.class),
+    PERMIT_ANSWER(20, PermitAnswer.class);
 
     private final byte number;
     private final Class<? extends Message> type;
--- a/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
@@ -22,6 +22,7 @@
 import org.sassafrastrail.messages.CopiedRow;
 import org.sassafrastrail.messages.DrainingUpstream;
 import org.sassafrastrail.messages.EvidenceEntry;
+import org.sassafrastrail.messages.LimitedUpstream;
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.messages.MoveProgress;
 import org.sassafrastrail.messages.SuspectPart;
@@ -69,6 +70,7 @@
             LedgerEntry.class,
             LedgerKey.class,
             LedgerWriter.class,
+            LimitedUpstream.class,
             MoveIdentifier.class,
             MoveProgress.class,
             RuleDocument.class,
--- a/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
+++ b/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.stream.Stream;
 import java.util.stream.StreamSupport;
 
@@ -33,10 +34,14 @@
 import org.sassafrastrail.messages.Heartbeat;
 import org.sassafrastrail.messages.Hello;
 import org.sassafrastrail.messages.LedgerUpdate;
+import org.sassafrastrail.messages.LimitUpdate;
+import org.sassafrastrail.messages.LimitedUpstream;
 import org.sassafrastrail.messages.LoadReport;
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.messages.MoveProgress;
 import org.sassafrastrail.messages.MoveUpdate;
+import org.sassafrastrail.messages.PermitAnswer;
+import org.sassafrastrail.messages.PermitRequest;
 import org.sassafrastrail.messages.RulesAnnouncement;
 import org.sassafrastrail.messages.RulesRequest;
 import org.sassafrastrail.messages.SuspectPart;
@@ -93,6 +98,11 @@
                         List.of(new SuspectPart("a1b2", 90, true)),
                         List.of("c3d4")))),
                 new DrainUpdate(List.of(new DrainingUpstream("i-1", 1_770_000_000_000L, 40))),
+                new LimitUpdate(List.of(
+                        new LimitedUpstream("i-1", 1_770_000_000_000L, OptionalDouble.of(11.7), 40),
+                        new LimitedUpstream("i-2", 0, OptionalDouble.empty(), 0))),
+                new PermitRequest(new LimitedUpstream("i-1", 1_770_000_000_000L, OptionalDouble.of(0.5), 40)),
+                new PermitAnswer("i-1", 1_770_000_000_000L, false, 85),
                 new CopyRequest("servers", 17),
                 new TableCopy("servers", 18, List.of()),
                 new Demand(List.of(new AccountDemand(new AccountName("kitchen"), 3, 100, 20))),
