Try a price of permits, in prompt tokens, that rises while they are refused

The permits of an upstream that counts requests are worth most to the requests that cost most elsewhere, so the placement adds a price to the score of a limited upstream.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -160,7 +160,8 @@
                 .map(upstream -> new Placement.Candidate(
                         upstream,
                         state.peers().loadAt(upstream.upstream().identifier()),
-                        upstream.unknownLoad().requestsAt(now)))
+                        upstream.unknownLoad().requestsAt(now),
+                        permits.price(state, upstream.upstream(), now)))
                 .toList());
     }
 
