--- a/gate-core/src/main/java/org/sassafrastrail/gate/CacheAffinityPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CacheAffinityPlacement.java
@@ -85,7 +85,7 @@
         Candidate candidate = hashed.candidate();
         return new Scored(
                 new Choice(candidate, prefillTokens),
-                candidate.pendingPrefillTokens() + ownTokens + recomputeCost + candidate.permitPrice(),
+                candidate.pendingPrefillTokens() + ownTokens + recomputeCost,
                 hashed.hash());
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/PermitOffice.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/PermitOffice.java
@@ -25,14 +25,6 @@
                 : state.permits().stock(incarnation).status(now);
     }
 
-    /** Returns what a request has to gain from an upstream to be sent there, in prompt tokens, 0 without a limit. */
-    double price(GatewayState state, Upstream upstream, Instant now) {
-        UpstreamIncarnation incarnation = upstream.incarnation();
-        return state.rateLimits().inForce(incarnation).isEmpty()
-                ? 0
-                : state.permits().stock(incarnation).price().at(now);
-    }
-
     /** Returns until when no permit for an upstream can be had, empty if one can be asked for or none is needed. */
     Optional<Instant> closedUntil(GatewayState state, Upstream upstream, Instant now) {
         return status(state, upstream, now) == PermitStock.Status.CLOSED
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
@@ -20,9 +20,8 @@
      * @param upstream its state at this gateway
      * @param peerLoad the load that the other gateways put on it
      * @param unknownRequests the number of its requests that no gateway is known to have sent
-     * @param permitPrice what a request has to gain from it to be sent there, in prompt tokens, 0 if it has no limit
      */
-    record Candidate(UpstreamState upstream, GatewayLoad peerLoad, int unknownRequests, double permitPrice) {
+    record Candidate(UpstreamState upstream, GatewayLoad peerLoad, int unknownRequests) {
 
         UpstreamIdentifier identifier() {
             return upstream.upstream().identifier();
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -160,8 +160,7 @@
                 .map(upstream -> new Placement.Candidate(
                         upstream,
                         state.peers().loadAt(upstream.upstream().identifier()),
-                        upstream.unknownLoad().requestsAt(now),
-                        permits.price(state, upstream.upstream(), now)))
+                        upstream.unknownLoad().requestsAt(now)))
                 .toList());
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/limit/PermitStock.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/limit/PermitStock.java
@@ -12,14 +12,11 @@
  * @param expiresAt when they expire
  * @param askedAt when a permit was asked for that has not been answered, empty if none is
  * @param closedUntil until when none can be had
- * @param price what a request has to gain from the upstream to be sent there
  */
-public record PermitStock(
-        int permits, Instant expiresAt, Optional<Instant> askedAt, Instant closedUntil, PermitPrice price) {
+public record PermitStock(int permits, Instant expiresAt, Optional<Instant> askedAt, Instant closedUntil) {
 
     /** No permit, and none was asked for. */
-    public static final PermitStock EMPTY =
-            new PermitStock(0, Instant.MIN, Optional.empty(), Instant.MIN, PermitPrice.NONE);
+    public static final PermitStock EMPTY = new PermitStock(0, Instant.MIN, Optional.empty(), Instant.MIN);
 
     /** Long enough for the request that waits for it to be dispatched. */
     private static final Duration LIFETIME = Duration.ofMillis(300);
@@ -75,7 +72,7 @@
      * @return the stock
      */
     public PermitStock used() {
-        return new PermitStock(permits - 1, expiresAt, askedAt, closedUntil, price);
+        return new PermitStock(permits - 1, expiresAt, askedAt, closedUntil);
     }
 
     /**
@@ -85,7 +82,7 @@
      * @return the stock
      */
     public PermitStock asked(Instant now) {
-        return new PermitStock(0, expiresAt, Optional.of(now), closedUntil, price);
+        return new PermitStock(0, expiresAt, Optional.of(now), closedUntil);
     }
 
     /**
@@ -99,7 +96,7 @@
     public PermitStock answered(boolean granted, Duration delay, Instant now) {
         int unused = now.isBefore(expiresAt) ? permits : 0;
         return granted
-                ? new PermitStock(unused + 1, now.plus(LIFETIME), Optional.empty(), closedUntil, price.granted(now))
-                : new PermitStock(unused, expiresAt, Optional.empty(), now.plus(delay), price.refused(now));
+                ? new PermitStock(unused + 1, now.plus(LIFETIME), Optional.empty(), closedUntil)
+                : new PermitStock(unused, expiresAt, Optional.empty(), now.plus(delay));
     }
 }
