--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Methods;
 import io.undertow.util.StatusCodes;
 import org.sassafrastrail.gate.AttemptResult;
 import org.sassafrastrail.gate.CallDescription;
@@ -70,10 +71,22 @@
         this.memory = new ResponseMemory(upstreams.responseBuffers());
         this.unavailable = upstreams.unavailable();
         this.clock = clock;
-        this.splitter = description.route().streaming() ? Optional.of(new EventStreamSplitter()) : Optional.empty();
+        this.splitter = splitter(exchange, description, protocol);
         this.response = new CallerResponse(exchange, () -> attempt.resume(), this::callerDisconnected);
     }
 
+    /** Returns a splitter if responses are streams of events. A response to HEAD has none. */
+    private static Optional<EventStreamSplitter> splitter(
+            HttpServerExchange exchange, CallDescription description, CallerProtocol protocol) {
+        if (!description.route().streaming() || exchange.getRequestMethod().equals(Methods.HEAD)) {
+            return Optional.empty();
+        }
+        Optional<String> resumedAfter = description.route().resumable()
+                ? protocol.readLastEventId(exchange.getRequestHeaders())
+                : Optional.empty();
+        return Optional.of(new EventStreamSplitter(resumedAfter));
+    }
+
     /** Sets the check for a disconnected caller, which is run before each request to an upstream. */
     void setDisconnectCheck(Runnable check) {
         disconnectCheck = check;
@@ -105,7 +118,7 @@
         return Optional.ofNullable(responseBody).map(ResponseBody::form);
     }
 
-    /** Returns the identifier of the last event that was sent to the caller, empty if none was. */
+    /** Returns the identifier of the last event that the caller has, empty if it has none. */
     Optional<String> lastEvent() {
         return splitter.flatMap(EventStreamSplitter::lastIdentifier);
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerProtocol.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerProtocol.java
@@ -19,6 +19,14 @@
      */
     CallerRequestHead readRequestHead(HeaderMap headers);
 
+    /**
+     * Reads the identifier of the last event that the caller has of a stream that its request resumes.
+     *
+     * @param headers the request headers
+     * @return the identifier, empty if the request resumes no stream
+     */
+    Optional<String> readLastEventId(HeaderMap headers);
+
     /**
      * Builds the headers of a request to an upstream.
      *
--- a/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamBody.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamBody.java
@@ -1,6 +1,7 @@
 package org.sassafrastrail.gateway;
 
 import java.nio.ByteBuffer;
+import java.util.Optional;
 
 import org.sassafrastrail.gate.AttemptResult;
 
@@ -12,7 +13,7 @@
     private final EventStreamSplitter splitter;
     private final ResponseMemory memory;
     private final Runnable onEvent;
-    private boolean hasEvent;
+    private final Optional<String> lastBefore;
 
     /**
      * Creates a stream without events.
@@ -21,7 +22,7 @@
      * @param response the response to the caller
      * @param splitter holds what all attempts of the exchange have received of the stream
      * @param memory the memory of the exchange
-     * @param onEvent called with each part that completes an event
+     * @param onEvent called with each part from the first event on
      */
     EventStreamBody(
             UpstreamResponseHead head,
@@ -34,6 +35,7 @@
         this.splitter = splitter;
         this.memory = memory;
         this.onEvent = onEvent;
+        this.lastBefore = splitter.lastIdentifier();
     }
 
     @Override
@@ -48,8 +50,7 @@
             throw new UnusableResponseException("event not terminated within the size limit");
         }
         memory.holdReceived(splitter.partialBytes());
-        if (events.hasRemaining()) {
-            hasEvent = true;
+        if (hasEvent()) {
             onEvent.run();
         }
         boolean written = response.write(head, events);
@@ -63,17 +64,21 @@
     @Override
     public End end() {
         if (isCutOff()) {
-            return new End(new AttemptResult.Broken(), "the stream ends before an event ends");
+            return new End(new AttemptResult.Broken(), "the stream ends without its end");
         }
         response.end(head, splitter.remainder());
         return End.DELIVERED;
     }
 
     /**
-     * Returns whether the stream has ended without its end: inside an event, or before the first one if only the end of the
-     * connection shows the end of the body.
+     * Returns whether the stream has ended without its end: inside an event, or before the first one. Only a stream that is
+     * resumed may have no more events, if its framing says so.
      */
     private boolean isCutOff() {
-        return splitter.isInsideEvent() || !hasEvent && !head.framed();
+        return splitter.isInsideEvent() || !hasEvent() && (lastBefore.isEmpty() || !head.framed());
+    }
+
+    private boolean hasEvent() {
+        return !splitter.lastIdentifier().equals(lastBefore);
     }
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamSplitter.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamSplitter.java
@@ -19,9 +19,18 @@
     private static final int MAX_DIGITS = 18;
 
     private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
-    private Optional<String> lastIdentifier = Optional.empty();
+    private Optional<String> lastIdentifier;
     private boolean garbled;
 
+    /**
+     * Creates a splitter that has received nothing.
+     *
+     * @param lastIdentifier the identifier of the last event that the caller has, empty for a stream from its start
+     */
+    EventStreamSplitter(Optional<String> lastIdentifier) {
+        this.lastIdentifier = lastIdentifier;
+    }
+
     /** Adds a part of the stream and returns all events that are complete now. */
     byte[] completeEvents(ByteBuffer part) {
         byte[] bytes = new byte[part.remaining()];
@@ -108,6 +117,7 @@
         garbled = false;
     }
 
+    /** Returns the identifier of the last event that was accepted, or that the caller had before. */
     Optional<String> lastIdentifier() {
         return lastIdentifier;
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/FinishedCall.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/FinishedCall.java
@@ -15,7 +15,7 @@
  * @param bodyEnd what marks the end of the response body
  * @param closing whether the connection closes after the response
  * @param bodyForm how the body of the last upstream's response got to the caller, empty if none began
- * @param lastEvent the identifier of the last event that the caller was sent, empty if none was
+ * @param lastEvent the identifier of the last event that the caller has, empty if it has none
  * @param timeToFirstByte the time from arrival until an upstream began to respond, empty if none did
  * @param duration the time from arrival to the end of the exchange
  */
--- a/gateway/src/test/java/org/sassafrastrail/gateway/EventStreamSplitterTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/EventStreamSplitterTest.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Optional;
 import java.util.Random;
 
 import org.junit.jupiter.api.Test;
@@ -21,7 +22,7 @@
     private static final int TRIES = 2000;
     private static final int MAX_GARBAGE_BYTES = 40;
 
-    private final EventStreamSplitter splitter = new EventStreamSplitter();
+    private final EventStreamSplitter splitter = new EventStreamSplitter(Optional.empty());
 
     private String complete(String text) {
         return complete(splitter, text.getBytes(StandardCharsets.UTF_8));
@@ -35,7 +36,7 @@
     void eventsAreForwardedWhereverTheyAreSplit() {
         byte[] all = EVENTS.getBytes(StandardCharsets.UTF_8);
         for (int size = 1; size <= all.length; size++) {
-            EventStreamSplitter split = new EventStreamSplitter();
+            EventStreamSplitter split = new EventStreamSplitter(Optional.empty());
             StringBuilder forwarded = new StringBuilder();
             for (int start = 0; start < all.length; start += size) {
                 int end = Math.min(all.length, start + size);
@@ -119,7 +120,7 @@
         for (int count = 0; count < TRIES; count++) {
             byte[] garbage = new byte[1 + random.nextInt(MAX_GARBAGE_BYTES)];
             random.nextBytes(garbage);
-            EventStreamSplitter garbled = new EventStreamSplitter();
+            EventStreamSplitter garbled = new EventStreamSplitter(Optional.empty());
             String forwarded = complete(garbled, FIRST.getBytes(StandardCharsets.UTF_8))
                     + complete(garbled, garbage)
                     + complete(garbled, "\n\n".getBytes(StandardCharsets.UTF_8))
