Take an informational response for none to a request (ORDER)

What callers saw: of an upstream that names the request and a receipt in the head of a 1xx response, that head with what followed it as it came: the head of another response, garbage in its stream, events after it, and a complete end.

Cause: the HTTP client takes each response but a 100 for the final one, and the classifier took a status below 200 with a receipt for an answer. It is no success, so that its body was not read as events, and to callers the bytes after it are the real response.

Change: an informational response is not the response to a request, whatever its head says. A 100 is skipped by the HTTP client as before. What a 1xx other than 100 announces is not waited for, so such a request has no known outcome, as before without a receipt.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/ResponseClassifier.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/ResponseClassifier.java
@@ -7,7 +7,7 @@
 /**
  * Classifies an upstream's response: whether it belongs to the request, whether the request ran, and whether it continues
  * the stream that the caller has received a part of. A status alone proves nothing, because a faulty upstream may send an
- * earlier response again.
+ * earlier response again. An informational response is not the response to a request.
  */
 final class ResponseClassifier {
 
@@ -28,7 +28,7 @@
      * @return the kind of response
      */
     static ResponseKind classify(String requestIdentifier, ResponseFacts response, boolean streamStarted) {
-        if (response.belongsToAnother(requestIdentifier)) {
+        if (response.status() < StatusCodes.OK || response.belongsToAnother(requestIdentifier)) {
             return ResponseKind.FOREIGN;
         }
         if (response.notExecuted()) {
--- a/gateway/src/test/java/org/sassafrastrail/gateway/ResponseClassifierTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/ResponseClassifierTest.java
@@ -58,6 +58,15 @@
         assertThat(classify(status, REQUEST, false, false, false)).isEqualTo(ResponseKind.ANSWERED);
     }
 
+    /** Guards against ORDER: the bytes after an informational response were forwarded as its body. */
+    @ParameterizedTest
+    @ValueSource(ints = {101, 103, 199})
+    void informationalResponseIsForeign(int status) {
+        assertThat(classify(status, REQUEST, false, false, false)).isEqualTo(ResponseKind.FOREIGN);
+        assertThat(classify(status, REQUEST, false, true, true)).isEqualTo(ResponseKind.FOREIGN);
+        assertThat(classify(status, REQUEST, true, false, false)).isEqualTo(ResponseKind.FOREIGN);
+    }
+
     @Test
     void successNeedsRequestIdentifierAndReceipt() {
         assertThat(classify(200, REQUEST, false, false, false)).isEqualTo(ResponseKind.ANSWERED);
