--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnection.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnection.java
@@ -1,6 +1,7 @@
 package org.sassafrastrail.gateway;
 
 import io.undertow.client.ClientConnection;
+import org.sassafrastrail.http.ChunkChecker;
 
 /**
  * A connection to an upstream.
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnectionPool.java
@@ -16,6 +16,7 @@
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import org.sassafrastrail.gate.Upstream;
+import org.sassafrastrail.http.SourceWrappingThread;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.XnioExecutor;
@@ -30,12 +31,13 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
-    private final LimitedConnectionThread thread;
+    private final LimitedSources sources = new LimitedSources();
+    private final XnioIoThread thread;
     private final ByteBufferPool buffers;
     private final Map<String, Deque<IdleConnection>> idle = new HashMap<>();
 
     UpstreamConnectionPool(XnioIoThread thread, ByteBufferPool buffers) {
-        this.thread = new LimitedConnectionThread(thread);
+        this.thread = new SourceWrappingThread(thread, sources);
         this.buffers = buffers;
     }
 
@@ -110,7 +112,7 @@
             }
             done = true;
             timer.remove();
-            callback.completed(new UpstreamConnection(connection, thread.lastLimit(), thread.lastChecker()));
+            callback.completed(new UpstreamConnection(connection, sources.lastLimit(), sources.lastChecker()));
         }
 
         @Override
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CheckedSource.java
+++ b/http/src/main/java/org/sassafrastrail/http/CheckedSource.java
@@ -1,4 +1,4 @@
-package org.sassafrastrail.gateway;
+package org.sassafrastrail.http;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -7,11 +7,17 @@
 import org.xnio.conduits.StreamSourceConduit;
 
 /** Reads from a connection up to the first fault of the framing, and fails there. */
-final class CheckedSource extends AbstractStreamSourceConduit<StreamSourceConduit> {
+public final class CheckedSource extends AbstractStreamSourceConduit<StreamSourceConduit> {
 
     private final ChunkChecker checker;
 
-    CheckedSource(StreamSourceConduit next, ChunkChecker checker) {
+    /**
+     * Creates a source.
+     *
+     * @param next the source of the connection
+     * @param checker checks what is read from it
+     */
+    public CheckedSource(StreamSourceConduit next, ChunkChecker checker) {
         super(next);
         this.checker = checker;
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/ChunkChecker.java
+++ b/http/src/main/java/org/sassafrastrail/http/ChunkChecker.java
@@ -1,18 +1,15 @@
-package org.sassafrastrail.gateway;
+package org.sassafrastrail.http;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Optional;
 
-import org.sassafrastrail.http.BodyFraming;
-import org.sassafrastrail.http.ResponseFraming;
-
 /**
  * Checks the framing of chunked responses as their bytes are read, RFC 9112 section 7.1. Undertow reads a chunk size that is
  * no number as that of the last chunk, so that a response with garbage between its chunks would look complete.
  */
-final class ChunkChecker {
+public final class ChunkChecker {
 
     /** Longer lines of a head are not looked at, and longer sizes with their extensions are not accepted. */
     private static final int MAX_LINE_BYTES = 1024;
@@ -49,7 +46,7 @@
      *
      * @param withBody whether a response to the request may have a body
      */
-    void requestSent(boolean withBody) {
+    public void requestSent(boolean withBody) {
         position = Position.STATUS_LINE;
         expectsBody = withBody;
         chunked = false;
@@ -62,7 +59,7 @@
      * @param bytes the bytes, all of which are consumed
      * @return how many of them precede the line, or the end of a chunk, with a fault; all if there is none
      */
-    int check(ByteBuffer bytes) {
+    public int check(ByteBuffer bytes) {
         int start = bytes.position();
         int sound = 0;
         while (bytes.hasRemaining() && fault.isEmpty()) {
@@ -78,13 +75,18 @@
      * Returns whether the head that was read last frames the body in the same way as another reader of it found.
      *
      * @param framing the framing that the other one found
+     * @return whether both are the same
      */
-    boolean agreesWith(BodyFraming framing) {
+    public boolean agreesWith(BodyFraming framing) {
         return chunked == (framing.end() == ResponseFraming.BodyEnd.LAST_CHUNK);
     }
 
-    /** Returns what is wrong with the framing, empty if nothing is. */
-    Optional<String> fault() {
+    /**
+     * Returns what is wrong with the framing.
+     *
+     * @return the fault, empty if there is none
+     */
+    public Optional<String> fault() {
         return fault;
     }
 
--- a/http/src/main/java/org/sassafrastrail/http/IdleConnections.java
+++ b/http/src/main/java/org/sassafrastrail/http/IdleConnections.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.function.LongSupplier;
 
-import io.undertow.client.ClientConnection;
 import org.xnio.IoUtils;
 
 /**
@@ -31,24 +30,24 @@
         this.nanoTime = nanoTime;
     }
 
-    private record Idle(ClientConnection connection, long sinceNanos) {}
+    private record Idle(CheckedConnection connection, long sinceNanos) {}
 
     /** Removes and returns the connection that was used last, empty if none can be reused. */
-    Optional<ClientConnection> take(String server) {
+    Optional<CheckedConnection> take(String server) {
         Deque<Idle> connections = idle.get(server);
         Idle next = connections == null ? null : connections.pollFirst();
         if (next == null) {
             return Optional.empty();
         }
-        if (next.connection().isOpen() && nanoTime.getAsLong() - next.sinceNanos() < MAX_IDLE_TIME.toNanos()) {
+        if (next.connection().client().isOpen() && nanoTime.getAsLong() - next.sinceNanos() < MAX_IDLE_TIME.toNanos()) {
             return Optional.of(next.connection());
         }
-        IoUtils.safeClose(next.connection());
+        IoUtils.safeClose(next.connection().client());
         return take(server);
     }
 
-    void add(String server, ClientConnection connection) {
-        if (connection.isOpen()) {
+    void add(String server, CheckedConnection connection) {
+        if (connection.client().isOpen()) {
             idle.computeIfAbsent(server, name -> new ConcurrentLinkedDeque<>())
                     .addFirst(new Idle(connection, nanoTime.getAsLong()));
         }
@@ -58,7 +57,7 @@
     void discard(String server) {
         Deque<Idle> connections = idle.remove(server);
         if (connections != null) {
-            connections.forEach(each -> IoUtils.safeClose(each.connection()));
+            connections.forEach(each -> IoUtils.safeClose(each.connection().client()));
         }
     }
 
--- a/gateway/src/main/java/org/sassafrastrail/gateway/LimitedConnectionThread.java
+++ b/http/src/main/java/org/sassafrastrail/http/SourceWrappingThread.java
@@ -1,38 +1,35 @@
-package org.sassafrastrail.gateway;
+package org.sassafrastrail.http;
 
 import java.net.SocketAddress;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 import org.xnio.ChannelListener;
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
+import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * Opens connections on another I/O thread and puts an {@link UnproductiveReadLimit} and a {@link ChunkChecker} in front of
- * what reads from them. Undertow's client takes an I/O thread to open its connections, and has no other place for them. This object is
- * never started as a thread. Confined to the other thread.
+ * Opens connections on another I/O thread and wraps what reads from them. Undertow's client takes an I/O thread to open its
+ * connections, and has no other place for that. This object is never started as a thread.
  */
-final class LimitedConnectionThread extends XnioIoThread {
+public final class SourceWrappingThread extends XnioIoThread {
 
     private final XnioIoThread thread;
-    private UnproductiveReadLimit lastLimit;
-    private ChunkChecker lastChecker;
+    private final UnaryOperator<StreamSourceConduit> wrapper;
 
-    LimitedConnectionThread(XnioIoThread thread) {
+    /**
+     * Creates the thread object.
+     *
+     * @param thread the I/O thread that opens the connections and serves them
+     * @param wrapper wraps the source of each new connection, on the I/O thread
+     */
+    public SourceWrappingThread(XnioIoThread thread, UnaryOperator<StreamSourceConduit> wrapper) {
         super(thread.getWorker(), thread.getNumber());
         this.thread = thread;
-    }
-
-    /** Returns the limit of the connection that was opened last. */
-    UnproductiveReadLimit lastLimit() {
-        return lastLimit;
-    }
-
-    /** Returns the checker of the connection that was opened last. */
-    ChunkChecker lastChecker() {
-        return lastChecker;
+        this.wrapper = wrapper;
     }
 
     @Override
@@ -41,10 +38,10 @@
         return thread.openStreamConnection(
                 destination,
                 connection -> {
-                    lastLimit = new UnproductiveReadLimit(
-                            connection.getSourceChannel().getConduit());
-                    lastChecker = new ChunkChecker();
-                    connection.getSourceChannel().setConduit(new CheckedSource(lastLimit, lastChecker));
+                    connection
+                            .getSourceChannel()
+                            .setConduit(
+                                    wrapper.apply(connection.getSourceChannel().getConduit()));
                     openListener.handleEvent(connection);
                 },
                 options);
--- a/http/src/main/java/org/sassafrastrail/http/UndertowHttpClient.java
+++ b/http/src/main/java/org/sassafrastrail/http/UndertowHttpClient.java
@@ -16,6 +16,7 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.client.UndertowClient;
 import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
@@ -26,6 +27,7 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.Channels;
 import org.xnio.channels.StreamSinkChannel;
@@ -76,48 +78,65 @@
 
     @Override
     public HttpResult send(HttpRequest request) {
-        Optional<ClientConnection> idleConnection =
+        Optional<CheckedConnection> idleConnection =
                 request.reuseConnection() ? idle.take(hostAndPort(request)) : Optional.empty();
-        Optional<ClientConnection> connection = idleConnection.or(() -> connect(request));
+        Optional<CheckedConnection> connection = idleConnection.or(() -> connect(request));
         return connection.map(present -> exchange(request, present)).orElseGet(HttpResult.NotSent::new);
     }
 
-    private Optional<ClientConnection> connect(HttpRequest request) {
+    private Optional<CheckedConnection> connect(HttpRequest request) {
         URI address = URI.create("http://" + hostAndPort(request));
+        ChunkChecker checker = new ChunkChecker();
+        XnioIoThread thread =
+                new SourceWrappingThread(worker.getIoThread(), source -> new CheckedSource(source, checker));
         IoFuture<ClientConnection> future =
-                UndertowClient.getInstance().connect(address, worker, buffers, OptionMap.EMPTY);
+                UndertowClient.getInstance().connect(address, thread, buffers, OptionMap.EMPTY);
         if (future.await(CONNECT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS) != IoFuture.Status.DONE) {
             future.cancel();
             return Optional.empty();
         }
         try {
-            return Optional.of(future.get());
+            return Optional.of(new CheckedConnection(future.get(), checker));
         } catch (IOException failure) {
             return Optional.empty();
         }
     }
 
-    private HttpResult exchange(HttpRequest request, ClientConnection connection) {
+    private HttpResult exchange(HttpRequest request, CheckedConnection connection) {
         ExchangeCallback pending = new ExchangeCallback();
-        connection.getIoThread().execute(() -> connection.sendRequest(clientRequest(request), pending));
+        connection.client().getIoThread().execute(() -> start(request, connection, pending));
         try {
             long timeoutMillis = request.timeout().toMillis();
             ClientExchange sent = pending.sent().get(timeoutMillis, TimeUnit.MILLISECONDS);
             write(sent, request.body(), timeoutMillis);
             ClientExchange responded = pending.responded().get(timeoutMillis, TimeUnit.MILLISECONDS);
+            checkFraming(responded, connection);
             return new HttpResult.Responded(new UndertowHttpResponse(
                     responded, request.timeout(), () -> idle.add(hostAndPort(request), connection)));
         } catch (IOException | ExecutionException | TimeoutException failure) {
-            IoUtils.safeClose(connection);
+            IoUtils.safeClose(connection.client());
             idle.discard(hostAndPort(request));
             return new HttpResult.NoResponse();
         } catch (InterruptedException interrupted) {
-            IoUtils.safeClose(connection);
+            IoUtils.safeClose(connection.client());
             Thread.currentThread().interrupt();
             return new HttpResult.NoResponse();
         }
     }
 
+    private static void start(HttpRequest request, CheckedConnection connection, ExchangeCallback pending) {
+        ClientRequest clientRequest = clientRequest(request);
+        connection.checker().requestSent(!clientRequest.getMethod().equals(Methods.HEAD));
+        connection.client().sendRequest(clientRequest, pending);
+    }
+
+    private static void checkFraming(ClientExchange responded, CheckedConnection connection) throws IOException {
+        HeaderMap headers = responded.getResponse().getResponseHeaders();
+        if (BodyFraming.of(headers).filter(connection.checker()::agreesWith).isEmpty()) {
+            throw new IOException("contradictory framing");
+        }
+    }
+
     private static ClientRequest clientRequest(HttpRequest request) {
         ClientRequest clientRequest = new ClientRequest()
                 .setMethod(Methods.fromString(request.method()))
--- a/gateway/src/test/java/org/sassafrastrail/gateway/ChunkCheckerTest.java
+++ b/http/src/test/java/org/sassafrastrail/http/ChunkCheckerTest.java
@@ -1,4 +1,4 @@
-package org.sassafrastrail.gateway;
+package org.sassafrastrail.http;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
--- a/http/src/test/java/org/sassafrastrail/http/UndertowHttpClientTest.java
+++ b/http/src/test/java/org/sassafrastrail/http/UndertowHttpClientTest.java
@@ -21,12 +21,16 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /** Tests the client against a server that writes the response in separate pieces. */
 class UndertowHttpClientTest {
 
+    private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
     private static final long PAUSE_MILLISECONDS = 60;
     private static final Duration SILENCE = Duration.ofMillis(300);
@@ -65,6 +69,41 @@
                 .isEqualTo(body);
     }
 
+    /** Guards against ORDER: a chunk size that is no number was taken for that of the last chunk. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                CHUNKED + "5\r\nwhole\r\ngarbage\r\n\r\n7\r\n answer\r\n0\r\n\r\n",
+                CHUNKED + "5\r\nwhole\r\n\r\n7\r\n answer\r\n0\r\n\r\n",
+                CHUNKED + "5\r\nwhole answer\r\n0\r\n\r\n",
+                CHUNKED + "5\r\nwhole\r\n0\r\ngarbage\r\n\r\n"
+            })
+    void garbledChunksAreNoEnd(String response) {
+        assertThatThrownBy(() -> bodyOf(response)).isInstanceOf(IOException.class);
+        assertThatThrownBy(() -> bodyOf(response.split("(?<=whole)"))).isInstanceOf(IOException.class);
+    }
+
+    /** Guards against ORDER: chunks were not checked where the head names them in a way that only one of its readers knows. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Transfer-Encoding:\r\n chunked\r\n", "Transfer-Encoding: gzip, chunked\r\n"})
+    void responseWithUnclearFramingIsNone(String field) throws Exception {
+        assertThat(resultOf("HTTP/1.1 200 OK\r\n" + field + "\r\n5\r\nwhole\r\ngarbage\r\n\r\n"))
+                .isInstanceOf(HttpResult.NoResponse.class);
+    }
+
+    @Test
+    void reusedConnectionIsCheckedAnew() throws Exception {
+        try (SilencedServer server = new SilencedServer()) {
+            HttpRequest head =
+                    new HttpRequest("127.0.0.1", server.port(), "HEAD", "/", Map.of(), new byte[0], SILENCE, true);
+            for (int count = 0; count < SILENT_CONNECTIONS; count++) {
+                try (HttpResponse response = ((HttpResult.Responded) client.send(head)).response()) {
+                    assertThat(response.body().readAllBytes()).isEmpty();
+                }
+            }
+        }
+    }
+
     /** A server that stops reading must not block the sending thread, such as a store watch, for ever. */
     @Test
     @Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
@@ -163,6 +202,15 @@
         }
     }
 
+    private HttpResult resultOf(String response) throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<Void> served = CompletableFuture.runAsync(() -> serve(server, response));
+            HttpResult result = client.send(HttpRequest.get("127.0.0.1", server.getLocalPort(), "/", TIMEOUT));
+            served.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+            return result;
+        }
+    }
+
     private static void serve(ServerSocket server, String... pieces) {
         try (Socket socket = server.accept()) {
             BufferedReader request =
