Take no numbers for identifiers after one that is none (ORDER)

What callers could see: a first event of garbage that is well formed, whose identifier is no number, and after it the events of the stream, to its end. Found by review, not in a record.

Cause: after an identifier that is no number any other one counted as the next.

Change: the identifiers of a stream are all numbers, which increase, or none is one, and then each differs from the one before. The first event still has to be believed.

Result: EventStreamSplitterTest.identifiersAreAllNumbersOrNone failed before and passes. A byte order mark before the first event, or before a later one, was garbage before and is now tested to be (4 cases, which passed before).

--- a/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamSplitter.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamSplitter.java
@@ -8,7 +8,7 @@
 
 /**
  * Splits a stream into complete events and remembers the identifier of the last one, so that the stream can be resumed at
- * another upstream. Identifiers increase. An incomplete event is not forwarded, nor anything from the first bytes on that
+ * another upstream. Identifiers increase, or none is a number. An incomplete event is not forwarded, nor anything from the first bytes on that
  * are not the next event.
  */
 final class EventStreamSplitter {
@@ -68,9 +68,9 @@
 
     private boolean isAfterLast(String identifier) {
         return lastIdentifier
-                .map(last -> isNumber(last)
-                        ? isNumber(identifier) && Long.parseLong(identifier) > Long.parseLong(last)
-                        : !identifier.equals(last))
+                .map(last -> isNumber(last) && isNumber(identifier)
+                        ? Long.parseLong(identifier) > Long.parseLong(last)
+                        : !isNumber(last) && !isNumber(identifier) && !identifier.equals(last))
                 .orElse(true);
     }
 
--- a/gateway/src/test/java/org/sassafrastrail/gateway/EventStreamSplitterTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/EventStreamSplitterTest.java
@@ -86,7 +86,8 @@
                 "id: 2\n\rdata: two\n\n",
                 "id: 2\n\n",
                 "data: two\n\r\n",
-                "garbage\r\n\r"
+                "garbage\r\n\r",
+                "\ufeffid: 2\ndata: two\n\n"
             })
     void nothingIsForwardedFromGarbageOn(String garbage) {
         assertThat(complete(FIRST + garbage + SECOND + THIRD)).isEqualTo(FIRST);
@@ -101,6 +102,21 @@
         assertThat(splitter.isGarbled()).isTrue();
     }
 
+    /** Guards against ORDER: after an event whose identifier is no number, events with any identifiers were forwarded. */
+    @Test
+    void identifiersAreAllNumbersOrNone() {
+        String event = "id: b\ndata: one\n\n";
+        assertThat(complete(event + FIRST + SECOND)).isEqualTo(event);
+        assertThat(splitter.isGarbled()).isTrue();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\ufeff" + FIRST, "\ufeff\n" + FIRST, "\n\ufeff" + FIRST})
+    void byteOrderMarkIsNoPartOfEvents(String stream) {
+        assertThat(complete(stream)).isBlank();
+        assertThat(splitter.isGarbled()).isTrue();
+    }
+
     @Test
     void resumedStreamGoesOnAfterTheLastEvent() {
         complete(FIRST + "garbage\n\n");
