Read identifiers of events as every client of event streams does (ORDER)

What callers could see: an event whose identifier is another one to them than to the gateway, such as "2 " or " 2" for 2.

Cause: the parser left out all spaces around an identifier. Clients leave out one space before it; some leave out more. It is the same class as line ends: one reading here, another at the caller.

Change: one space is left out, and an identifier with more around it is garbage, whichever client reads it.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/EventParser.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/EventParser.java
@@ -27,14 +27,19 @@
         List<String> lines = lines(event);
         List<String> identifiers = lines.stream()
                 .filter(line -> line.startsWith(IDENTIFIER_FIELD))
-                .map(line -> line.substring(IDENTIFIER_FIELD.length()).trim())
+                .map(line -> value(line.substring(IDENTIFIER_FIELD.length())))
                 .toList();
         boolean hasData = lines.stream().anyMatch(line -> line.startsWith(DATA_FIELD));
         return identifiers.size() == 1 && hasData && lines.stream().allMatch(EventParser::isField)
-                ? Optional.of(identifiers.get(0)).filter(identifier -> !identifier.isEmpty())
+                ? Optional.of(identifiers.get(0)).filter(EventParser::isIdentifier)
                 : Optional.empty();
     }
 
+    /** Returns the value of a field: clients of event streams leave out one space before it and nothing else. */
+    private static String value(String afterColon) {
+        return afterColon.startsWith(" ") ? afterColon.substring(1) : afterColon;
+    }
+
     /** Returns the lines that are not empty, none if the bytes are not valid UTF-8. */
     private static List<String> lines(ByteBuffer event) {
         try {
@@ -50,6 +55,11 @@
         }
     }
 
+    /** Returns whether clients that leave out more spaces than one read the same. */
+    private static boolean isIdentifier(String value) {
+        return !value.isEmpty() && value.equals(value.strip());
+    }
+
     private static boolean isField(String line) {
         int colon = line.indexOf(':');
         return colon >= 0
--- a/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamSplitter.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamSplitter.java
@@ -8,8 +8,8 @@
 
 /**
  * Splits a stream into complete events and remembers the identifier of the last one, so that the stream can be resumed at
- * another upstream. Identifiers increase, or none is a number. An incomplete event is not forwarded, nor anything from the first bytes on that
- * are not the next event.
+ * another upstream. Identifiers increase, or none is a number. An incomplete event is not forwarded, nor anything from the
+ * first bytes on that are not the next event.
  */
 final class EventStreamSplitter {
 
--- a/gateway/src/test/java/org/sassafrastrail/gateway/EventStreamSplitterTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/EventStreamSplitterTest.java
@@ -87,6 +87,9 @@
                 "id: 2\n\n",
                 "data: two\n\r\n",
                 "garbage\r\n\r",
+                "id: 2 \ndata: two\n\n",
+                "id:  2\ndata: two\n\n",
+                "id: 2\t\ndata: two\n\n",
                 "\ufeffid: 2\ndata: two\n\n"
             })
     void nothingIsForwardedFromGarbageOn(String garbage) {
@@ -110,6 +113,14 @@
         assertThat(splitter.isGarbled()).isTrue();
     }
 
+    /** Guards against ORDER: clients of event streams leave out one space before an identifier, and some leave out all. */
+    @ParameterizedTest
+    @ValueSource(strings = {"id:  1\ndata: one\n\n", "id: 1 \ndata: one\n\n", "id:  \ndata: one\n\n"})
+    void firstIdentifierHasNoSpacesAroundIt(String event) {
+        assertThat(complete(event)).isEmpty();
+        assertThat(splitter.isGarbled()).isTrue();
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"\ufeff" + FIRST, "\ufeff\n" + FIRST, "\n\ufeff" + FIRST})
     void byteOrderMarkIsNoPartOfEvents(String stream) {
