--- a/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamSplitter.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/EventStreamSplitter.java
@@ -8,8 +8,8 @@
 
 /**
  * Splits a stream into complete events and remembers the identifier of the last one, so that the stream can be resumed at
- * another upstream. Identifiers increase. An incomplete event is not forwarded, nor anything from the first bytes on that
- * are not the next event.
+ * another upstream. Identifiers increase, or none is a number. An incomplete event is not forwarded, nor anything from the
+ * first bytes on that are not the next event.
  */
 final class EventStreamSplitter {
 
@@ -19,9 +19,18 @@
     private static final int MAX_DIGITS = 18;
 
     private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
-    private Optional<String> lastIdentifier = Optional.empty();
+    private Optional<String> lastIdentifier;
     private boolean garbled;
 
+    /**
+     * Creates a splitter that has received nothing.
+     *
+     * @param lastIdentifier the identifier of the last event that the caller has, empty for a stream from its start
+     */
+    EventStreamSplitter(Optional<String> lastIdentifier) {
+        this.lastIdentifier = lastIdentifier;
+    }
+
     /** Adds a part of the stream and returns all events that are complete now. */
     byte[] completeEvents(ByteBuffer part) {
         byte[] bytes = new byte[part.remaining()];
@@ -59,9 +68,9 @@
 
     private boolean isAfterLast(String identifier) {
         return lastIdentifier
-                .map(last -> isNumber(last)
-                        ? isNumber(identifier) && Long.parseLong(identifier) > Long.parseLong(last)
-                        : !identifier.equals(last))
+                .map(last -> isNumber(last) && isNumber(identifier)
+                        ? Long.parseLong(identifier) > Long.parseLong(last)
+                        : !isNumber(last) && !isNumber(identifier) && !identifier.equals(last))
                 .orElse(true);
     }
 
@@ -108,6 +117,7 @@
         garbled = false;
     }
 
+    /** Returns the identifier of the last event that was accepted, or that the caller had before. */
     Optional<String> lastIdentifier() {
         return lastIdentifier;
     }
--- a/gateway/src/test/java/org/sassafrastrail/gateway/EventStreamSplitterTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/EventStreamSplitterTest.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Optional;
 import java.util.Random;
 
 import org.junit.jupiter.api.Test;
@@ -21,7 +22,7 @@
     private static final int TRIES = 2000;
     private static final int MAX_GARBAGE_BYTES = 40;
 
-    private final EventStreamSplitter splitter = new EventStreamSplitter();
+    private final EventStreamSplitter splitter = new EventStreamSplitter(Optional.empty());
 
     private String complete(String text) {
         return complete(splitter, text.getBytes(StandardCharsets.UTF_8));
@@ -35,7 +36,7 @@
     void eventsAreForwardedWhereverTheyAreSplit() {
         byte[] all = EVENTS.getBytes(StandardCharsets.UTF_8);
         for (int size = 1; size <= all.length; size++) {
-            EventStreamSplitter split = new EventStreamSplitter();
+            EventStreamSplitter split = new EventStreamSplitter(Optional.empty());
             StringBuilder forwarded = new StringBuilder();
             for (int start = 0; start < all.length; start += size) {
                 int end = Math.min(all.length, start + size);
@@ -85,7 +86,11 @@
                 "id: 2\n\rdata: two\n\n",
                 "id: 2\n\n",
                 "data: two\n\r\n",
-                "garbage\r\n\r"
+                "garbage\r\n\r",
+                "id: 2 \ndata: two\n\n",
+                "id:  2\ndata: two\n\n",
+                "id: 2\t\ndata: two\n\n",
+                "\ufeffid: 2\ndata: two\n\n"
             })
     void nothingIsForwardedFromGarbageOn(String garbage) {
         assertThat(complete(FIRST + garbage + SECOND + THIRD)).isEqualTo(FIRST);
@@ -100,6 +105,29 @@
         assertThat(splitter.isGarbled()).isTrue();
     }
 
+    /** Guards against ORDER: after an event whose identifier is no number, events with any identifiers were forwarded. */
+    @Test
+    void identifiersAreAllNumbersOrNone() {
+        String event = "id: b\ndata: one\n\n";
+        assertThat(complete(event + FIRST + SECOND)).isEqualTo(event);
+        assertThat(splitter.isGarbled()).isTrue();
+    }
+
+    /** Guards against ORDER: clients of event streams leave out one space before an identifier, and some leave out all. */
+    @ParameterizedTest
+    @ValueSource(strings = {"id:  1\ndata: one\n\n", "id: 1 \ndata: one\n\n", "id:  \ndata: one\n\n"})
+    void firstIdentifierHasNoSpacesAroundIt(String event) {
+        assertThat(complete(event)).isEmpty();
+        assertThat(splitter.isGarbled()).isTrue();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\ufeff" + FIRST, "\ufeff\n" + FIRST, "\n\ufeff" + FIRST})
+    void byteOrderMarkIsNoPartOfEvents(String stream) {
+        assertThat(complete(stream)).isBlank();
+        assertThat(splitter.isGarbled()).isTrue();
+    }
+
     @Test
     void resumedStreamGoesOnAfterTheLastEvent() {
         complete(FIRST + "garbage\n\n");
@@ -119,7 +147,7 @@
         for (int count = 0; count < TRIES; count++) {
             byte[] garbage = new byte[1 + random.nextInt(MAX_GARBAGE_BYTES)];
             random.nextBytes(garbage);
-            EventStreamSplitter garbled = new EventStreamSplitter();
+            EventStreamSplitter garbled = new EventStreamSplitter(Optional.empty());
             String forwarded = complete(garbled, FIRST.getBytes(StandardCharsets.UTF_8))
                     + complete(garbled, garbage)
                     + complete(garbled, "\n\n".getBytes(StandardCharsets.UTF_8))
