Write requests on the connection's I/O thread only (CONFIG)

What was seen: ProcessFailureTest.concurrentRuleChanges... and BadInputTest's startFleet, each once: 'rules apply' was told 'not confirmed: the platform does not respond', by a stand-in platform that responded.

Cause: the client's caller and its I/O thread both wrote and flushed the same request. When the I/O thread was first, the request's channel was detached under the caller, whose wait ended with a ClosedChannelException. That was taken for a call without a response: the connection and all idle ones were closed, and a write that had taken effect counted as unconfirmed. It showed in a trace of router calls beside four busy processes: three calls on 'vms' without a response after 3 to 14 ms of 500, the stand-in sound.

Change: the body is written by RequestBodyWriter on the I/O thread. The caller waits for the end of writing and for the response, each with the timeout as before.

--- a/http/src/main/java/org/sassafrastrail/http/UndertowHttpClient.java
+++ b/http/src/main/java/org/sassafrastrail/http/UndertowHttpClient.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.URI;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -27,8 +26,6 @@
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
-import org.xnio.channels.Channels;
-import org.xnio.channels.StreamSinkChannel;
 
 /** An {@link HttpClient} on Undertow's client that keeps idle connections for reuse. */
 public final class UndertowHttpClient implements HttpClient, Service {
@@ -98,16 +95,15 @@
     }
 
     private HttpResult exchange(HttpRequest request, ClientConnection connection) {
-        ExchangeCallback pending = new ExchangeCallback();
+        ExchangeCallback pending = new ExchangeCallback(request.body());
         connection.getIoThread().execute(() -> connection.sendRequest(clientRequest(request), pending));
         try {
             long timeoutMillis = request.timeout().toMillis();
-            ClientExchange sent = pending.sent().get(timeoutMillis, TimeUnit.MILLISECONDS);
-            write(sent, request.body(), timeoutMillis);
+            pending.written().get(timeoutMillis, TimeUnit.MILLISECONDS);
             ClientExchange responded = pending.responded().get(timeoutMillis, TimeUnit.MILLISECONDS);
             return new HttpResult.Responded(new UndertowHttpResponse(
                     responded, request.timeout(), () -> idle.add(hostAndPort(request), connection)));
-        } catch (IOException | ExecutionException | TimeoutException failure) {
+        } catch (ExecutionException | TimeoutException failure) {
             IoUtils.safeClose(connection);
             idle.discard(hostAndPort(request));
             return new HttpResult.NoResponse();
@@ -129,33 +125,25 @@
         return clientRequest;
     }
 
-    /** Writes the body. A server that stops reading is treated after the timeout as one that does not respond. */
-    private static void write(ClientExchange exchange, byte[] body, long timeoutMillis)
-            throws IOException, TimeoutException {
-        StreamSinkChannel channel = exchange.getRequestChannel();
-        ByteBuffer unwritten = ByteBuffer.wrap(body);
-        Channels.writeBlocking(channel, unwritten, timeoutMillis, TimeUnit.MILLISECONDS);
-        if (unwritten.hasRemaining()) {
-            throw new TimeoutException("timed out writing the request");
-        }
-        channel.shutdownWrites();
-        if (!Channels.flushBlocking(channel, timeoutMillis, TimeUnit.MILLISECONDS)) {
-            throw new TimeoutException("timed out writing the request");
-        }
-    }
-
     private static String hostAndPort(HttpRequest request) {
         return request.host() + ":" + request.port();
     }
 
-    /** Completes one future when the request head was sent and another when the response head arrived. */
+    /**
+     * Writes the body on the I/O thread once the request head was sent, and completes one future when the request was
+     * written and another when the response head arrived.
+     */
     private static final class ExchangeCallback implements ClientCallback<ClientExchange> {
 
-        private final CompletableFuture<ClientExchange> sent = new CompletableFuture<>();
+        private final RequestBodyWriter writer;
         private final CompletableFuture<ClientExchange> responded = new CompletableFuture<>();
 
-        CompletableFuture<ClientExchange> sent() {
-            return sent;
+        ExchangeCallback(byte[] body) {
+            this.writer = new RequestBodyWriter(body);
+        }
+
+        CompletableFuture<Void> written() {
+            return writer.written();
         }
 
         CompletableFuture<ClientExchange> responded() {
@@ -175,12 +163,12 @@
                     responded.completeExceptionally(failure);
                 }
             });
-            sent.complete(exchange);
+            writer.start(exchange.getRequestChannel());
         }
 
         @Override
         public void failed(IOException failure) {
-            sent.completeExceptionally(failure);
+            writer.written().completeExceptionally(failure);
         }
     }
 }
--- a/http/src/test/java/org/sassafrastrail/http/UndertowHttpClientTest.java
+++ b/http/src/test/java/org/sassafrastrail/http/UndertowHttpClientTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
+import io.undertow.server.HttpServerExchange;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -31,6 +32,7 @@
     private static final long PAUSE_MILLISECONDS = 60;
     private static final Duration SILENCE = Duration.ofMillis(300);
     private static final int SILENT_CONNECTIONS = 4;
+    private static final int RACING_REQUESTS = 20_000;
     private static final int MORE_THAN_SOCKET_BUFFERS_HOLD = 64 * 1024 * 1024;
 
     private final UndertowHttpClient client = new UndertowHttpClient(1);
@@ -77,6 +79,26 @@
         }
     }
 
+    /** Guards against a race: the caller's thread and the I/O thread wrote the same request, and the loser took it for lost. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void everyRequestToSoundServerGetsItsResponse() throws Exception {
+        HttpServerService server = new HttpServerService("127.0.0.1", 0, HttpServerExchange::endExchange);
+        server.start();
+        try {
+            for (int number = 0; number < RACING_REQUESTS; number++) {
+                HttpResult result = client.send(new HttpRequest(
+                        "127.0.0.1", server.port(), "POST", "/", Map.of(), new byte[number % 2], TIMEOUT, true));
+                assertThat(result).as("request %d", number).isInstanceOf(HttpResult.Responded.class);
+                try (HttpResponse response = ((HttpResult.Responded) result).response()) {
+                    assertThat(response.body().readAllBytes()).isEmpty();
+                }
+            }
+        } finally {
+            server.stop();
+        }
+    }
+
     /** Guards against CONFIG: after all connections went silent at once, each call waited for another old one. */
     @Test
     @Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
