Give a claim of an idempotency key that ends with a fault a result, so that it is repeated

What was seen: ProcessFailureTest.lostClaimResponseIsResolvedByReadingBack, once: the booking was refused as idempotency-store-unavailable, where reading back was to settle it.

Cause: a claim runs as a task of an executor, which keeps an exception to itself. So a claim that ended with one had no result and no log line, was not repeated, and its request was refused at its deadline for want of a claim.

Change: a fault is logged and counts as a lost response, so the core repeats the claim until the deadline, as it does for every claim without a result.

--- a/router/src/main/java/org/sassafrastrail/router/PlatformClient.java
+++ b/router/src/main/java/org/sassafrastrail/router/PlatformClient.java
@@ -20,6 +20,8 @@
 import org.sassafrastrail.router.core.RouterEvent;
 import org.sassafrastrail.router.core.RouterProcessEvent;
 import org.sassafrastrail.rules.RuleDocument;
+import org.sassafrastrail.runtime.EventLog;
+import org.sassafrastrail.runtime.LogField;
 import org.sassafrastrail.runtime.Service;
 
 /**
@@ -37,6 +39,7 @@
     private final Clock clock;
     private final Supplier<Revision> revision;
     private final Consumer<RouterProcessEvent> control;
+    private final EventLog log = new EventLog("org.sassafrastrail.router");
     private final ScheduledExecutorService keyThreads =
             Executors.newScheduledThreadPool(KEY_THREADS, PlatformClient::daemonThread);
     private final ScheduledExecutorService ruleThread =
@@ -94,15 +97,25 @@
     }
 
     private void claimNow(RouterAction.ClaimIdempotencyKey action) {
-        IdempotencyKeyStore.ClaimResult claim = keys.claim(
-                action.request().account(), action.key(), action.request().identifier());
-        RouterEvent.IdempotencyClaimResult result =
-                switch (claim) {
-                    case OWNED -> RouterEvent.IdempotencyClaimResult.OWNED;
-                    case HELD_BY_OTHER -> RouterEvent.IdempotencyClaimResult.HELD_BY_OTHER;
-                    case UNAVAILABLE -> RouterEvent.IdempotencyClaimResult.UNAVAILABLE;
-                };
-        post(new RouterEvent.IdempotencyClaimCompleted(action.request().identifier(), result));
+        post(new RouterEvent.IdempotencyClaimCompleted(action.request().identifier(), claimResult(action)));
+    }
+
+    /** Claims a key. A fault counts as a lost response, because a claim without a result waits until its deadline. */
+    private RouterEvent.IdempotencyClaimResult claimResult(RouterAction.ClaimIdempotencyKey action) {
+        try {
+            return switch (keys.claim(
+                    action.request().account(), action.key(), action.request().identifier())) {
+                case OWNED -> RouterEvent.IdempotencyClaimResult.OWNED;
+                case HELD_BY_OTHER -> RouterEvent.IdempotencyClaimResult.HELD_BY_OTHER;
+                case UNAVAILABLE -> RouterEvent.IdempotencyClaimResult.UNAVAILABLE;
+            };
+        } catch (RuntimeException fault) {
+            log.error(
+                    "idempotency-claim-fault",
+                    fault,
+                    LogField.of("request", action.request().identifier()));
+            return RouterEvent.IdempotencyClaimResult.UNAVAILABLE;
+        }
     }
 
     void release(RouterAction.ReleaseIdempotencyKey action) {
