--- a/application/src/main/java/org/sassafrastrail/application/DaemonCommands.java
+++ b/application/src/main/java/org/sassafrastrail/application/DaemonCommands.java
@@ -119,17 +119,26 @@
         EventLog log = new EventLog("org.sassafrastrail.application");
         try {
             Service service = command.factory().apply(settings, clock);
-            Runtime.getRuntime().addShutdownHook(new Thread(service::stop, "shutdown"));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(service), "shutdown"));
             Signal.handle(new Signal("HUP"), signal -> reload(command, file, log));
             service.start();
             return ExitCode.DONE;
         } catch (ServiceStartException failure) {
             log.error("start-failed", failure, LogField.of("program", command.word()));
+            Logging.flush();
             Runtime.getRuntime().halt(ExitCode.FAILED.number());
             return ExitCode.FAILED;
         }
     }
 
+    private static void stop(Service service) {
+        try {
+            service.stop();
+        } finally {
+            Logging.flush();
+        }
+    }
+
     /** Reloads the settings file. Only the log level changes at once; all other settings need a restart. */
     private static <T> void reload(DaemonCommand<T> command, String file, EventLog log) {
         SettingsResult<T> result = new SettingsReader<>(command.settings()).read(Path.of(file));
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -22,6 +22,7 @@
 import org.sassafrastrail.runtime.ControlLoop;
 import org.sassafrastrail.runtime.EventLog;
 import org.sassafrastrail.runtime.LogField;
+import org.sassafrastrail.runtime.Logging;
 import org.sassafrastrail.runtime.Metrics;
 import org.sassafrastrail.runtime.Service;
 import org.sassafrastrail.runtime.ServiceStartException;
@@ -97,6 +98,7 @@
                 metrics,
                 log);
         this.ticker = new Ticker(TICK, this::busy, this::tick, log);
+        metrics.gauge("log-lines-dropped", Logging::droppedLines);
         metrics.gauge("traffic-lag-ms", () -> ioThreadLag.lag().toMillis());
         this.callerListener = new CallerListener(settings.callers(), worker, buffers, callers, metrics, log);
         this.readinessListener =
