--- a/gateway/src/main/java/org/sassafrastrail/gateway/LoggingCallRecorder.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/LoggingCallRecorder.java
@@ -91,8 +91,8 @@
     @Override
     public void finished(FinishedCall call) {
         String route = call.description().route().name();
-        metrics.recordDuration("answer." + route, call.duration().toNanos());
-        call.timeToFirstByte().ifPresent(first -> metrics.recordDuration("first-event." + route, first.toNanos()));
+        metrics.recordDuration("answer", route, call.duration().toNanos());
+        call.timeToFirstByte().ifPresent(first -> metrics.recordDuration("first-event", route, first.toNanos()));
         log.info(
                 "answered",
                 LogField.of("request", call.description().request()),
--- a/router/src/main/java/org/sassafrastrail/router/Dispatcher.java
+++ b/router/src/main/java/org/sassafrastrail/router/Dispatcher.java
@@ -159,7 +159,7 @@
     private AttemptOutcome forwardResponse(RouterAction.Dispatch dispatch, PendingCall call, HttpResponse response) {
         HttpServerExchange exchange = call.exchange();
         Duration firstByte = Duration.ofNanos(call.ageNanoseconds());
-        metrics.recordDuration("first-byte." + dispatch.request().account(), firstByte.toNanos());
+        metrics.recordDuration("first-byte", dispatch.request().account().toString(), firstByte.toNanos());
         control.accept(new RouterEvent.ResponseStarted(dispatch.attempt()));
         exchange.setStatusCode(response.status());
         response.header("Content-Type")
--- a/router/src/main/java/org/sassafrastrail/router/RouterTelemetry.java
+++ b/router/src/main/java/org/sassafrastrail/router/RouterTelemetry.java
@@ -56,7 +56,8 @@
     void dispatched(RouterAction.Dispatch action) {
         metrics.count("dispatches", 1);
         metrics.recordDuration(
-                "wait." + action.request().account(),
+                "wait",
+                action.request().account().toString(),
                 action.request().age(clock.instant()).toNanos());
         traces.add(
                 action.attempt().request(),
--- a/runtime/src/main/java/org/sassafrastrail/runtime/Metrics.java
+++ b/runtime/src/main/java/org/sassafrastrail/runtime/Metrics.java
@@ -14,6 +14,7 @@
 public final class Metrics {
 
     private final MetricRegistry registry;
+    private final KeyedTimers keyedTimers;
     private final ObjectMapper mapper =
             new ObjectMapper().registerModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
 
@@ -24,6 +25,7 @@
      */
     public Metrics(MetricRegistry registry) {
         this.registry = registry;
+        this.keyedTimers = new KeyedTimers(registry);
     }
 
     /**
@@ -49,13 +51,24 @@
     /**
      * Records a duration.
      *
-     * @param name the name of the timer
+     * @param name the name of the timer, one of few that the program knows
      * @param nanoseconds the duration in nanoseconds
      */
     public void recordDuration(String name, long nanoseconds) {
         registry.timer(name).update(nanoseconds, TimeUnit.NANOSECONDS);
     }
 
+    /**
+     * Records a duration under a key that comes from outside the process. Of many keys, those used last are kept.
+     *
+     * @param name the name of the timer, without the key
+     * @param key the key, such as a route or an account
+     * @param nanoseconds the duration in nanoseconds
+     */
+    public void recordDuration(String name, String key, long nanoseconds) {
+        keyedTimers.record(name + "." + key, nanoseconds);
+    }
+
     /**
      * Registers a gauge, whose value is read whenever the metrics are written.
      *
