--- a/gateway/src/main/java/org/sassafrastrail/gateway/AccountActivity.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/AccountActivity.java
@@ -1,22 +1,22 @@
 package org.sassafrastrail.gateway;
 
 import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.LongAdder;
-import java.util.stream.Collectors;
 
 import org.sassafrastrail.model.AccountName;
 
 /**
- * Sums the cost of each client account's requests by the processing step that they reached. Reading the sums resets them.
+ * Sums the cost of each client account's requests by the processing step that they reached. Reading the sums
+ * removes them.
  */
 final class AccountActivity {
 
-    private final Map<AccountName, Map<Step, LongAdder>> costs = new ConcurrentHashMap<>();
+    private Map<AccountName, Map<Step, Long>> costs = new HashMap<>();
 
     /** The processing step that a request reached. */
     enum Step {
@@ -49,16 +49,15 @@
         }
     }
 
-    void add(Optional<AccountName> account, Step step, long cost) {
-        account.ifPresent(name -> costs.computeIfAbsent(name, key -> new ConcurrentHashMap<>())
-                .computeIfAbsent(step, key -> new LongAdder())
-                .add(cost));
+    synchronized void add(Optional<AccountName> account, Step step, long cost) {
+        account.ifPresent(name ->
+                costs.computeIfAbsent(name, key -> new EnumMap<>(Step.class)).merge(step, cost, Long::sum));
     }
 
-    /** Returns the accounts that requested most since the last call, highest first, and resets the sums of all accounts. */
+    /** Returns the accounts that requested most since the last call, highest first, and forgets the sums of all accounts. */
     List<Row> takeTop(int maxRows) {
-        return costs.entrySet().stream()
-                .map(entry -> new Row(entry.getKey(), reset(entry.getValue())))
+        return takeAll().entrySet().stream()
+                .map(entry -> new Row(entry.getKey(), Map.copyOf(entry.getValue())))
                 .filter(row -> row.cost().values().stream().anyMatch(cost -> cost > 0))
                 .sorted(Comparator.comparingLong((Row row) -> row.cost(Step.ASKED))
                         .reversed())
@@ -66,9 +65,14 @@
                 .toList();
     }
 
-    private static Map<Step, Long> reset(Map<Step, LongAdder> adders) {
-        return adders.entrySet().stream()
-                .collect(Collectors.toUnmodifiableMap(
-                        Map.Entry::getKey, adder -> adder.getValue().sumThenReset()));
+    private synchronized Map<AccountName, Map<Step, Long>> takeAll() {
+        Map<AccountName, Map<Step, Long>> taken = costs;
+        costs = new HashMap<>();
+        return taken;
+    }
+
+    /** Returns how many accounts have sums. */
+    synchronized int accounts() {
+        return costs.size();
     }
 }
--- a/gateway/src/test/java/org/sassafrastrail/gateway/AccountActivityTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/AccountActivityTest.java
@@ -31,6 +31,16 @@
         assertThat(activity.takeTop(2)).extracting(row -> row.account().value()).containsExactly("most", "middle");
     }
 
+    @Test
+    void accountsThatComeAndGoStayLevel() {
+        for (int round = 0; round < 100; round++) {
+            add("account-" + round, AccountActivity.Step.ASKED, 1);
+            activity.takeTop(1);
+        }
+        add("last", AccountActivity.Step.ASKED, 1);
+        assertThat(activity.accounts()).isEqualTo(1);
+    }
+
     private void add(String account, AccountActivity.Step step, long cost) {
         activity.add(Optional.of(new AccountName(account)), step, cost);
     }
