--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnectionPool.java
@@ -4,10 +4,6 @@
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -24,32 +20,21 @@
 /** A pool of connections to upstreams. Confined to one I/O thread. */
 final class UpstreamConnectionPool {
 
-    /** Upstreams close idle connections after their keep-alive time; no request may be sent at that moment. */
-    private static final double USABLE_SHARE_OF_KEEP_ALIVE = 0.7;
-
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
     private final LimitedConnectionThread thread;
     private final ByteBufferPool buffers;
-    private final Map<String, Deque<IdleConnection>> idle = new HashMap<>();
+    private final IdleUpstreamConnections idle = new IdleUpstreamConnections(System::nanoTime);
 
     UpstreamConnectionPool(XnioIoThread thread, ByteBufferPool buffers) {
         this.thread = new LimitedConnectionThread(thread);
         this.buffers = buffers;
     }
 
-    /** An idle connection and the time until which it can be reused, by {@link System#nanoTime}. */
-    private record IdleConnection(UpstreamConnection connection, long usableUntilNanos) {
-
-        boolean isUsable() {
-            return connection.client().isOpen() && System.nanoTime() - usableUntilNanos < 0;
-        }
-    }
-
     /** Passes an idle or a new connection to the callback, or a failure if none could be opened in time. */
     void open(Upstream upstream, ClientCallback<UpstreamConnection> callback) {
-        Optional<UpstreamConnection> idleConnection = takeIdle(address(upstream));
+        Optional<UpstreamConnection> idleConnection = idle.take(address(upstream));
         if (idleConnection.isPresent()) {
             callback.completed(idleConnection.get());
             return;
@@ -69,22 +54,8 @@
     /** Returns a connection without a request in flight to the pool. */
     void release(Upstream upstream, UpstreamConnection connection, Duration keepAlive) {
         if (connection.client().isOpen()) {
-            long usable = Math.round(keepAlive.toNanos() * USABLE_SHARE_OF_KEEP_ALIVE);
-            idle.computeIfAbsent(address(upstream), address -> new ArrayDeque<>())
-                    .push(new IdleConnection(connection, System.nanoTime() + usable));
-        }
-    }
-
-    private Optional<UpstreamConnection> takeIdle(String address) {
-        Deque<IdleConnection> connections = idle.getOrDefault(address, new ArrayDeque<>());
-        while (!connections.isEmpty()) {
-            IdleConnection next = connections.pop();
-            if (next.isUsable()) {
-                return Optional.of(next.connection());
-            }
-            TransportCloser.close(next.connection().client());
+            idle.add(address(upstream), connection, keepAlive);
         }
-        return Optional.empty();
     }
 
     private static String address(Upstream upstream) {
