--- a/gate-core/src/main/java/org/sassafrastrail/gate/AccountLedger.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AccountLedger.java
@@ -32,6 +32,13 @@
         return with(Map.of(account, tokens(account, now).plus(requested, served)));
     }
 
+    /** Drops accounts whose tokens have decayed to nothing. */
+    AccountLedger withoutNegligible(Instant now) {
+        Map<String, DecayingTokens> kept = new HashMap<>(accounts);
+        kept.keySet().removeIf(account -> tokens(account, now).isNegligible());
+        return new AccountLedger(halfLife, Collections.unmodifiableMap(kept));
+    }
+
     /** Replaces the tokens of the given accounts. */
     AccountLedger with(Map<String, DecayingTokens> changes) {
         Map<String, DecayingTokens> next = new HashMap<>(accounts);
--- a/gate-core/src/main/java/org/sassafrastrail/gate/AccountShares.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AccountShares.java
@@ -76,6 +76,12 @@
         return new AccountShares(local, remote, Collections.unmodifiableMap(kept), levels, corrections);
     }
 
+    /** Drops accounts whose tokens have decayed to nothing. */
+    AccountShares withoutIdleAccounts(Instant now) {
+        return new AccountShares(
+                local.withoutNegligible(now), remote.withoutNegligible(now), reports, levels, corrections);
+    }
+
     private static Map<String, DecayingTokens> changes(AccountLedger before, GatewayReport report, Instant now) {
         Map<String, DecayingTokens> changes = new HashMap<>();
         if (report.full()) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
@@ -21,14 +21,18 @@
         this.scheduler = scheduler;
     }
 
-    /** Applies a configuration unless it is no newer than the one in force. */
+    /**
+     * Applies a configuration unless it is no newer than the one in force. Names come and go with configurations, so what is
+     * left of past ones is dropped then.
+     */
     Transition<GatewayState, GatewayAction> configurationReceived(
             GatewayState state, GatewayEvent.ConfigurationReceived event, Instant now) {
         boolean newer = state.configuration()
                 .map(configuration -> event.configuration().version() > configuration.version())
                 .orElse(true);
         return newer
-                ? Transition.<GatewayState, GatewayAction>to(state.with(event.configuration()))
+                ? Transition.<GatewayState, GatewayAction>to(
+                                state.withoutPast(now).with(event.configuration()))
                         .then(new GatewayAction.ReportConfigurationInForce(
                                 event.configuration().version()))
                 : Transition.to(state);
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -207,6 +208,17 @@
                 cluster, openCalls, fleet, retryBudgets.plus(target, next), versionTrials, pauses, stoppingSince);
     }
 
+    /** Drops what is left of accounts and targets that had no requests for some time and may be gone. */
+    GatewayState withoutPast(Instant now) {
+        PMap<TargetName, RetryBudget> kept = retryBudgets.minusAll(retryBudgets.entrySet().stream()
+                .filter(budget -> budget.getValue().isOver(now))
+                .map(Map.Entry::getKey)
+                .toList());
+        AccountShares current = shares().withoutIdleAccounts(now)
+                .withoutIdleReports(peers().reports().keySet(), now);
+        return new GatewayState(cluster, openCalls, fleet.with(current), kept, versionTrials, pauses, stoppingSince);
+    }
+
     GatewayState withVersionTrials(PMap<TargetName, VersionTrial> next) {
         return new GatewayState(cluster, openCalls, fleet, retryBudgets, next, pauses, stoppingSince);
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/RetryBudget.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/RetryBudget.java
@@ -45,6 +45,12 @@
         return new RetryBudget(recent.plus(new Second(second, requests, retries)));
     }
 
+    /** Returns whether no request or retry counts any more. */
+    boolean isOver(Instant now) {
+        long second = now.getEpochSecond();
+        return seconds.stream().allMatch(count -> count.second() < second - RETRY_WINDOW.toSeconds());
+    }
+
     boolean allowsRetry(Instant now, double share, double extra) {
         long second = now.getEpochSecond();
         int requests = seconds.stream()
