--- a/durable/src/main/java/org/sassafrastrail/durable/WatchedTable.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/WatchedTable.java
@@ -135,7 +135,12 @@
         return true;
     }
 
+    /** Applies a row unless a newer version of it is known, as after a table that was read in several steps. */
     private void apply(TableRow row) {
+        TableRow known = rows.get(row.key());
+        if (known != null && known.version() > row.version()) {
+            return;
+        }
         if (row.value().isPresent()) {
             rows.put(row.key(), row);
         } else {
