--- a/durable/src/main/java/org/sassafrastrail/durable/WatchedTable.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/WatchedTable.java
@@ -66,28 +66,35 @@
         return new Snapshot(version, List.copyOf(rows.values()));
     }
 
-    /** Polls the feed once for changes, or reads the whole table if it is not loaded yet. */
-    public void poll() {
+    /**
+     * Polls the feed once for changes, or reads the whole table if it is not loaded yet.
+     *
+     * @return whether the store responded with rows
+     */
+    public boolean poll() {
         long known = snapshot().version();
         ChangeFeedResult result = known == NOT_LOADED ? feed.readAll() : feed.changesSince(known, maximumWait);
         if (result instanceof ChangeFeedResult.Rows update) {
             readSucceeded(update);
             apply(update, known == NOT_LOADED);
-        } else if (result instanceof ChangeFeedResult.HistoryExpired) {
-            reload();
-        } else {
-            readFailed(((ChangeFeedResult.Unavailable) result).reason());
+            return true;
+        }
+        if (result instanceof ChangeFeedResult.HistoryExpired) {
+            return reload();
         }
+        readFailed(((ChangeFeedResult.Unavailable) result).reason());
+        return false;
     }
 
-    private void reload() {
+    private boolean reload() {
         ChangeFeedResult result = feed.readAll();
         if (result instanceof ChangeFeedResult.Rows update) {
             readSucceeded(update);
             apply(update, true);
-        } else {
-            readFailed("history expired");
+            return true;
         }
+        readFailed("history expired");
+        return false;
     }
 
     private void readSucceeded(ChangeFeedResult.Rows update) {
