--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -104,12 +105,25 @@
 
     @Override
     public void connectTo(Collection<String> gateways) {
+        stopDialingOthersThan(gateways);
         // Of two registered gateways, the one with the smaller address dials, so that there is one link between them.
         gateways.stream()
                 .filter(address -> settings.links().compareTo(address) < 0)
                 .forEach(this::dialIfValid);
     }
 
+    /** Stops to dial gateways that are gone. A link that works is kept: a registration may be missing though its gateway runs. */
+    private void stopDialingOthersThan(Collection<String> gateways) {
+        dialers.entrySet().stream()
+                .filter(dialed -> !gateways.contains(dialed.getKey())
+                        && !settings.seeds().contains(dialed.getKey())
+                        && !dialed.getValue().isConnected())
+                .forEach(dialed -> {
+                    dialers.remove(dialed.getKey());
+                    dialed.getValue().stop();
+                });
+    }
+
     /** Dials a registered address. One invalid registration does not keep the others from being dialed. */
     private void dialIfValid(String address) {
         try {
@@ -131,6 +145,15 @@
         }
     }
 
+    /** Returns the addresses that are dialed whenever there is no link to them. */
+    Set<String> dialedAddresses() {
+        return Set.copyOf(dialers.keySet());
+    }
+
+    boolean isLinkedTo(String peer) {
+        return links.containsKey(peer);
+    }
+
     @Override
     public void shareTable(String table, WatchedTable watchedTable) {
         tables.put(table, watchedTable);
--- a/wire/src/main/java/org/sassafrastrail/wire/LinkDialer.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/LinkDialer.java
@@ -20,6 +20,7 @@
     private final CountDownLatch stopped = new CountDownLatch(1);
     private volatile SocketLink link;
     private volatile Thread thread;
+    private volatile boolean connected;
 
     /**
      * Creates a dialer, which connects once it is started.
@@ -61,13 +62,25 @@
             if (stopped.getCount() == 0) {
                 link.close();
             }
+            connected = true;
             link.run();
         } catch (IOException unreachable) {
             settings.metrics().count("link-closures", LinkCloseReason.NOT_CONNECTED);
             settings.log().debug("link-not-connected", LogField.of("host", host), LogField.of("port", port));
+        } finally {
+            connected = false;
         }
     }
 
+    /**
+     * Returns whether the address accepted a connection that has not ended.
+     *
+     * @return whether it is connected
+     */
+    public boolean isConnected() {
+        return connected;
+    }
+
     @Override
     public void stop() {
         stopped.countDown();
