--- a/standins/src/main/java/org/sassafrastrail/standins/UpstreamStandIn.java
+++ b/standins/src/main/java/org/sassafrastrail/standins/UpstreamStandIn.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
 
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
@@ -23,6 +24,7 @@
  */
 public final class UpstreamStandIn implements AutoCloseable {
 
+    private static final String EVENT_STREAM = "text/event-stream";
     private static final HttpString RECEIPT_HEADER = new HttpString("X-Response-Seal");
 
     private static final HttpString REQUEST_HEADER = new HttpString("X-Request-Id");
@@ -142,20 +144,26 @@
                 exchange.setStatusCode(500);
                 exchange.getResponseSender().send("broken " + identifier);
             }
-            case "hang" -> trickle(exchange, 200);
-            case "slow" -> trickle(exchange, 140);
+            case "hang" -> trickle(exchange, 200, number -> ":");
+            case "hang-events" -> trickleEvents(exchange, 200);
+            case "slow-events" -> trickleEvents(exchange, 140);
             case "events" -> sendEvents(exchange, false);
             case "cut" -> sendEvents(exchange, header(exchange, "Last-Event-Id").isEmpty());
             default -> exchange.getResponseSender().send("done " + body);
         }
     }
 
-    /** Sends a byte every 25 ms, because only a failed write shows that the client has disconnected. */
-    private void trickle(HttpServerExchange exchange, int bytes) throws InterruptedException {
+    private void trickleEvents(HttpServerExchange exchange, int events) throws InterruptedException {
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, EVENT_STREAM);
+        trickle(exchange, events, UpstreamStandIn::event);
+    }
+
+    /** Sends a part every 25 ms, because only a failed write shows that the client has disconnected. */
+    private void trickle(HttpServerExchange exchange, int parts, IntFunction<String> part) throws InterruptedException {
         try {
             OutputStream output = exchange.getOutputStream();
-            for (int sent = 0; sent < bytes && !hangingResponsesReleased.await(25, TimeUnit.MILLISECONDS); sent++) {
-                output.write(':');
+            for (int sent = 0; sent < parts && !hangingResponsesReleased.await(25, TimeUnit.MILLISECONDS); sent++) {
+                output.write(part.apply(sent + 1).getBytes(StandardCharsets.UTF_8));
                 output.flush();
             }
         } catch (IOException disconnected) {
@@ -163,12 +171,16 @@
         }
     }
 
+    private static String event(int number) {
+        return "id: " + number + "\ndata: word" + number + "\n\n";
+    }
+
     private static void sendEvents(HttpServerExchange exchange, boolean truncate) throws IOException {
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, EVENT_STREAM);
         int first = header(exchange, "Last-Event-Id").map(Integer::parseInt).orElse(0) + 1;
         OutputStream output = exchange.getOutputStream();
         for (int number = first; number <= 4; number++) {
-            output.write(("id: " + number + "\ndata: word" + number + "\n\n").getBytes(StandardCharsets.UTF_8));
+            output.write(event(number).getBytes(StandardCharsets.UTF_8));
             output.flush();
             if (truncate && number == 2) {
                 output.write("id: 3\nda".getBytes(StandardCharsets.UTF_8));
