--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerResponse.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerResponse.java
@@ -133,7 +133,7 @@
 
     private void finish() {
         if (!closed) {
-            exchange.endExchange();
+            ResponseFraming.complete(exchange);
         }
     }
 }
--- a/http/src/main/java/org/sassafrastrail/http/ResponseFraming.java
+++ b/http/src/main/java/org/sassafrastrail/http/ResponseFraming.java
@@ -42,7 +42,8 @@
     /**
      * Gives the body of a response a length or chunks, whatever happens to its connection afterwards. Undertow by itself
      * sends no chunks on a connection that closes after the response. A body of unknown length to an HTTP/1.0 client can
-     * have neither. To be called before the head is sent.
+     * have neither: until {@link #complete} its connection is one that is reset when it ends, also with this process. To be
+     * called before the head is sent.
      *
      * @param exchange the exchange, with its status and headers
      * @param length the length of the body in bytes, empty if it is not known yet
@@ -56,9 +57,23 @@
             headers.put(Headers.CONTENT_LENGTH, length.getAsLong());
         } else if (exchange.isHttp11()) {
             headers.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+        } else {
+            setResetOnClose(exchange, true);
         }
     }
 
+    /**
+     * Ends a response whose body has been written.
+     *
+     * @param exchange the exchange
+     */
+    public static void complete(HttpServerExchange exchange) {
+        if (bodyEnd(exchange.getResponseHeaders()) == BodyEnd.CONNECTION_END) {
+            setResetOnClose(exchange, false);
+        }
+        exchange.endExchange();
+    }
+
     /**
      * Closes the connection of a response that is not complete. Where only the end of the connection would mark the end of
      * the body, the connection is reset. Before the response has begun it is not, because a reset may discard what was written
@@ -68,14 +83,14 @@
      */
     public static void abort(HttpServerExchange exchange) {
         if (exchange.isResponseStarted() && bodyEnd(exchange.getResponseHeaders()) == BodyEnd.CONNECTION_END) {
-            resetOnClose(exchange);
+            setResetOnClose(exchange, true);
         }
         IoUtils.safeClose(exchange.getConnection());
     }
 
-    private static void resetOnClose(HttpServerExchange exchange) {
+    private static void setResetOnClose(HttpServerExchange exchange, boolean reset) {
         try {
-            exchange.getConnection().setOption(Options.CLOSE_ABORT, true);
+            exchange.getConnection().setOption(Options.CLOSE_ABORT, reset);
         } catch (IOException alreadyClosed) {
             // Nothing is sent on a closed connection.
         }
--- a/router/src/main/java/org/sassafrastrail/router/Dispatcher.java
+++ b/router/src/main/java/org/sassafrastrail/router/Dispatcher.java
@@ -168,7 +168,7 @@
         try {
             exchange.startBlocking();
             copy(response.body(), exchange.getOutputStream());
-            exchange.endExchange();
+            ResponseFraming.complete(exchange);
             return new AttemptOutcome.Completed(response.status(), 0, firstByte);
         } catch (IOException aborted) {
             ResponseFraming.abort(exchange);
--- a/sidecar/src/main/java/org/sassafrastrail/sidecar/UpstreamForwarder.java
+++ b/sidecar/src/main/java/org/sassafrastrail/sidecar/UpstreamForwarder.java
@@ -144,7 +144,7 @@
     private static void finish(HttpServerExchange exchange, OutputStream output) throws RouterDisconnected {
         try {
             output.close();
-            exchange.endExchange();
+            ResponseFraming.complete(exchange);
         } catch (IOException broken) {
             throw new RouterDisconnected(broken);
         }
