Test what a gateway knows of limits and does with permits, event by event (LIMIT)

What was missing: RateLimits, PermitStock, PermitBucket and RateLimitHandler were tested as a fleet only, where no test says which part of them is wrong.

--- /dev/null
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/RateLimitHandlerTest.java
@@ -0,0 +1,102 @@
+package org.sassafrastrail.gate;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.pcollections.HashTreePSet;
+import org.sassafrastrail.gate.limit.LimitReport;
+import org.sassafrastrail.model.RefusalReason;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Tests what a gateway does about the limit of an upstream for which another gateway issues the permits, event by event. */
+class RateLimitHandlerTest {
+
+    private static final Route ROUTE = GatewayDriver.route("list", GatewayDriver.SERVICE, true, false, 2);
+    private static final Upstream UPSTREAM = GatewayDriver.upstream("one", GatewayDriver.SERVICE);
+    private static final Upstream OTHER = GatewayDriver.upstream("two", GatewayDriver.SERVICE);
+    private static final String ISSUER = issuer("b", "c", "d", "e", "f");
+    private static final Duration LONG = Duration.ofMinutes(3);
+
+    private final GatewayDriver gateway = new GatewayDriver();
+
+    private static String issuer(String... peers) {
+        return List.of(peers).stream()
+                .filter(peer -> Peers.none("a")
+                        .withConnected(peer)
+                        .issuer(UPSTREAM.incarnation().upstream())
+                        .equals(peer))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    @BeforeEach
+    void register() {
+        gateway.register(UPSTREAM);
+        gateway.handle(new GatewayEvent.GatewaysChanged(HashTreePSet.from(List.of("a", ISSUER))));
+        gateway.handle(new GatewayEvent.PeerConnected(ISSUER));
+        name(OptionalDouble.of(2));
+    }
+
+    private List<GatewayAction> name(OptionalDouble limit) {
+        return gateway.handle(new GatewayEvent.PeerRateLimitsReceived(
+                List.of(new LimitReport(UPSTREAM.incarnation(), limit, Duration.ZERO))));
+    }
+
+    private List<GatewayAction> answer(boolean granted, Duration delay) {
+        return gateway.handle(new GatewayEvent.PermitAnswered(UPSTREAM.incarnation(), granted, delay));
+    }
+
+    private static Optional<GatewayAction.RequestPermit> question(List<GatewayAction> actions) {
+        return GatewayDriver.first(actions, GatewayAction.RequestPermit.class);
+    }
+
+    @Test
+    void requestIsSentWithPermitOfIssuerOnly() {
+        assertThat(question(gateway.arrive(1, ROUTE)).orElseThrow().gateway()).isEqualTo(ISSUER);
+        assertThat(gateway.arrive(2, ROUTE)).isEmpty();
+        List<GatewayAction> actions = answer(true, Duration.ZERO);
+        assertThat(GatewayDriver.dispatchedTo(actions)).contains("one");
+        assertThat(question(actions)).isPresent();
+    }
+
+    @Test
+    void requestGoesElsewhereWhereNoPermitIsToBeHad() {
+        gateway.register(OTHER);
+        gateway.peerLoad(ISSUER, "two", 3, 0);
+        assertThat(question(gateway.arrive(1, ROUTE))).isPresent();
+        assertThat(GatewayDriver.dispatchedTo(answer(false, LONG))).contains("two");
+    }
+
+    @Test
+    void requestThatCannotWaitForPermitIsRefused() {
+        gateway.arrive(1, ROUTE);
+        GatewayAction.Refuse refuse = GatewayDriver.first(answer(false, LONG), GatewayAction.Refuse.class)
+                .orElseThrow();
+        assertThat(refuse.reason()).isEqualTo(RefusalReason.UPSTREAMS_LIMITED);
+        assertThat(refuse.retryAfter()).isGreaterThanOrEqualTo(GatewayDriver.LIMITS.retryAfter());
+    }
+
+    @Test
+    void otherGatewayGetsPermitsAtRateOfLimit() {
+        GatewayEvent asked = new GatewayEvent.PermitRequested(
+                ISSUER, new LimitReport(OTHER.incarnation(), OptionalDouble.of(2), Duration.ZERO));
+        gateway.handle(new GatewayEvent.PeerDisconnected(ISSUER));
+        gateway.handle(new GatewayEvent.GatewaysChanged(HashTreePSet.singleton("a")));
+        gateway.handle(asked);
+        gateway.advance(Duration.ofMillis(500));
+        assertThat(answers(asked)).containsExactly(true);
+        assertThat(answers(asked)).containsExactly(false);
+    }
+
+    private List<Boolean> answers(GatewayEvent asked) {
+        return gateway.handle(asked).stream()
+                .map(GatewayAction.AnswerPermitRequest.class::cast)
+                .map(GatewayAction.AnswerPermitRequest::granted)
+                .toList();
+    }
+}
