Ask again for permits when the limit or the gateways change (LIMIT)

Cause: a refused permit closed an upstream at a gateway for the time that the answer named, whatever came after. A gateway that isn't the issuer, or is cut off, issues a small part and names minutes (24 at 360 gateways and the least rate); a limit that rose, or a link that came back, changed nothing, and callers were told to return after that time.

Change: a closure ends when the limit changes and when a gateway connects or disconnects, and lasts at most 4 s, the longest time between two permits of an issuer of all.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
@@ -136,7 +136,8 @@
         return Transition.to(state.with(state.peers().withConnected(event.peer()))
                 .with(state.crashes().asUnshared())
                 .with(state.drainNotices().asUnshared())
-                .with(state.rateLimits().asUnshared()));
+                .with(state.rateLimits().asUnshared())
+                .with(state.permits().reopened()));
     }
 
     Transition<GatewayState, GatewayAction> peerReportReceived(
@@ -149,6 +150,7 @@
             GatewayState state, GatewayEvent.PeerDisconnected event, Instant now) {
         Peers remaining = state.peers().withoutPeer(event.peer());
         return Transition.to(state.with(remaining)
-                .with(state.shares().withoutIdleReports(remaining.reports().keySet(), now)));
+                .with(state.shares().withoutIdleReports(remaining.reports().keySet(), now))
+                .with(state.permits().reopened()));
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/RateLimitHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/RateLimitHandler.java
@@ -50,13 +50,16 @@
         return changed(state, state.with(state.rateLimits().mergedWith(event.reports(), now)), upstreams, now);
     }
 
-    /** Reports the changes, and dispatches what a limit that is over held back. */
+    /** Reports the changes, and dispatches what the limits from before held back. */
     private Transition<GatewayState, GatewayAction> changed(
             GatewayState before, GatewayState after, List<Upstream> upstreams, Instant now) {
         List<Upstream> changed = upstreams.stream()
                 .filter(upstream -> !limit(before, upstream).equals(limit(after, upstream)))
                 .toList();
-        return Transition.<GatewayState, GatewayAction>to(after)
+        List<UpstreamIncarnation> incarnations =
+                changed.stream().map(Upstream::incarnation).toList();
+        return Transition.<GatewayState, GatewayAction>to(
+                        after.with(after.permits().reopened(incarnations)))
                 .thenAll(changed.stream()
                         .map(upstream -> statusReport(upstream, limit(before, upstream), limit(after, upstream)))
                         .toList())
--- a/gate-core/src/main/java/org/sassafrastrail/gate/limit/PermitStock.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/limit/PermitStock.java
@@ -27,6 +27,9 @@
     /** How long an upstream gets nothing of this gateway after a question without an answer. */
     private static final Duration UNANSWERED_CLOSURE = Duration.ofMillis(250);
 
+    /** The longest time between two permits of a gateway that issues all of them; any longer one is soon out of date. */
+    private static final Duration MAX_CLOSURE = Duration.ofSeconds(4);
+
     /** Whether a request can be sent to the upstream. */
     public enum Status {
         /** There is a permit. */
@@ -66,6 +69,15 @@
         return answerable.isAfter(closedUntil) ? answerable : closedUntil;
     }
 
+    /**
+     * Forgets until when none could be had.
+     *
+     * @return the stock
+     */
+    PermitStock reopened() {
+        return new PermitStock(permits, expiresAt, askedAt, Instant.MIN);
+    }
+
     /**
      * Uses one of the permits.
      *
@@ -97,6 +109,10 @@
         int unused = now.isBefore(expiresAt) ? permits : 0;
         return granted
                 ? new PermitStock(unused + 1, now.plus(LIFETIME), Optional.empty(), closedUntil)
-                : new PermitStock(unused, expiresAt, Optional.empty(), now.plus(delay));
+                : new PermitStock(unused, expiresAt, Optional.empty(), now.plus(closure(delay)));
+    }
+
+    private static Duration closure(Duration delay) {
+        return delay.compareTo(MAX_CLOSURE) < 0 ? delay : MAX_CLOSURE;
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/limit/Permits.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/limit/Permits.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collection;
 import java.util.Set;
 
 import org.pcollections.HashTreePMap;
@@ -65,6 +66,31 @@
                 new Permits(stocks, buckets.plus(upstream, next)), bucket.hasPermit(), bucket.delay(permitsPerSecond));
     }
 
+    /**
+     * Forgets until when no permits for some upstreams could be had, because their limits or their issuers may have changed.
+     *
+     * @param upstreams the upstreams
+     * @return the permits
+     */
+    public Permits reopened(Collection<UpstreamIncarnation> upstreams) {
+        return upstreams.stream()
+                .filter(stocks::containsKey)
+                .reduce(
+                        this,
+                        (permits, upstream) ->
+                                permits.with(upstream, permits.stock(upstream).reopened()),
+                        (one, other) -> other);
+    }
+
+    /**
+     * Forgets until when no permits could be had.
+     *
+     * @return the permits
+     */
+    public Permits reopened() {
+        return reopened(stocks.keySet());
+    }
+
     /**
      * Keeps only what belongs to the given upstreams.
      *
--- a/gate-core/src/test/java/org/sassafrastrail/gate/RateLimitHandlerTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/RateLimitHandlerTest.java
@@ -81,6 +81,35 @@
         assertThat(refuse.retryAfter()).isGreaterThanOrEqualTo(GatewayDriver.LIMITS.retryAfter());
     }
 
+    /** What the limit was before says nothing of when it has room now. */
+    @Test
+    void refusalIsForgottenWhenLimitChanges() {
+        gateway.arrive(1, ROUTE);
+        answer(false, LONG);
+        gateway.advance(GatewayDriver.TICK);
+        name(OptionalDouble.of(30));
+        assertThat(question(gateway.arrive(2, ROUTE))).isPresent();
+    }
+
+    /** A gateway that isn't the issuer, or is cut off, has little to issue, and names a long time. */
+    @Test
+    void refusalIsForgottenWhenOtherGatewaysAreConnected() {
+        gateway.arrive(1, ROUTE);
+        answer(false, LONG);
+        gateway.handle(new GatewayEvent.PeerConnected("z"));
+        assertThat(question(gateway.arrive(2, ROUTE))).isPresent();
+    }
+
+    @Test
+    void refusalIsForgottenWhenGatewayThatRefusedIsGone() {
+        gateway.handle(new GatewayEvent.PeerConnected("z"));
+        gateway.arrive(1, ROUTE);
+        answer(false, LONG);
+        gateway.handle(new GatewayEvent.PeerDisconnected(ISSUER));
+        assertThat(GatewayDriver.first(gateway.arrive(2, ROUTE), GatewayAction.Refuse.class))
+                .isEmpty();
+    }
+
     @Test
     void otherGatewayGetsPermitsAtRateOfLimit() {
         GatewayEvent asked = new GatewayEvent.PermitRequested(
--- a/gate-core/src/test/java/org/sassafrastrail/gate/limit/PermitStockTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/limit/PermitStockTest.java
@@ -45,4 +45,11 @@
         assertThat(refused.status(NOW.plus(DELAY).minusNanos(1))).isEqualTo(PermitStock.Status.CLOSED);
         assertThat(refused.status(NOW.plus(DELAY))).isEqualTo(PermitStock.Status.ASKABLE);
     }
+
+    /** An issuer that is cut off, whose part is small, does not close an upstream for hours. */
+    @Test
+    void refusalIsNotBelievedForLong() {
+        PermitStock refused = PermitStock.EMPTY.asked(NOW).answered(false, Duration.ofDays(1), NOW);
+        assertThat(refused.status(NOW.plusSeconds(4))).isEqualTo(PermitStock.Status.ASKABLE);
+    }
 }
