Take no answer to a question for a permit that wasn't asked (LIMIT)

Cause: a granted permit was added to the stock whether or not a question waited for it, so answers that a link had held up, or that came twice, were used all at once.

Change: an answer counts if a question waits for it, one answer a question.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/PermitOffice.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/PermitOffice.java
@@ -49,13 +49,13 @@
     Transition<GatewayState, GatewayAction> ask(GatewayState state, Upstream upstream, Instant now) {
         UpstreamIncarnation incarnation = upstream.incarnation();
         String issuer = state.peers().issuer(incarnation.upstream());
+        GatewayState asked = state.with(state.permits()
+                .with(incarnation, state.permits().stock(incarnation).asked(now)));
         if (state.peers().isSelf(issuer)) {
-            Permits.Answer answer = issue(state, incarnation, now);
-            return answered(state.with(answer.permits()), upstream, answer.granted(), answer.delay(), now);
+            Permits.Answer answer = issue(asked, incarnation, now);
+            return answered(asked.with(answer.permits()), upstream, answer.granted(), answer.delay(), now);
         }
-        PermitStock asked = state.permits().stock(incarnation).asked(now);
-        return Transition.<GatewayState, GatewayAction>to(
-                        state.with(state.permits().with(incarnation, asked)))
+        return Transition.<GatewayState, GatewayAction>to(asked)
                 .then(new GatewayAction.RequestPermit(issuer, state.rateLimits().report(incarnation, now)));
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/limit/PermitStock.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/limit/PermitStock.java
@@ -98,7 +98,8 @@
     }
 
     /**
-     * Records the answer to a question for a permit.
+     * Records the answer to a question for a permit. One that comes when no question waits for it means nothing: answers that
+     * were held up on a link would otherwise be used all at once.
      *
      * @param granted whether it was granted
      * @param delay the time until another one can be had, if it was not
@@ -106,6 +107,9 @@
      * @return the stock
      */
     public PermitStock answered(boolean granted, Duration delay, Instant now) {
+        if (askedAt.isEmpty()) {
+            return this;
+        }
         int unused = now.isBefore(expiresAt) ? permits : 0;
         return granted
                 ? new PermitStock(unused + 1, now.plus(LIFETIME), Optional.empty(), closedUntil)
--- a/gate-core/src/test/java/org/sassafrastrail/gate/limit/PermitStockTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/limit/PermitStockTest.java
@@ -52,4 +52,11 @@
         PermitStock refused = PermitStock.EMPTY.asked(NOW).answered(false, Duration.ofDays(1), NOW);
         assertThat(refused.status(NOW.plusSeconds(4))).isEqualTo(PermitStock.Status.ASKABLE);
     }
+
+    /** Answers that were held up come all at once; more than one would be a burst that the issuer did not mean. */
+    @Test
+    void answerThatNoQuestionWaitsForMeansNothing() {
+        assertThat(granted().answered(true, Duration.ZERO, NOW).permits()).isEqualTo(1);
+        assertThat(PermitStock.EMPTY.answered(false, DELAY, NOW).status(NOW)).isEqualTo(PermitStock.Status.ASKABLE);
+    }
 }
