Name no shorter time to return than the configured one beside a limit (LIMIT)

Cause: where one upstream had a limit and another had asked for a pause, a refused caller was told the time until the next permit, of a few milliseconds and for another caller.

Change: while limits are known, the time to return is the configured one at least.

Result: a new test failed before (33 ms, 300 configured) and passes; with PauseHandlerTest and GatewayCoreTest 64 of 64.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
@@ -207,7 +207,7 @@
                 scheduler.pausedUntil(state, call.target(), Set.of(), now).map(end -> Duration.between(now, end));
         return Stream.concat(untilEndOfPause.stream(), backlogTime(state, call, now).stream())
                 .max(Comparator.naturalOrder())
-                .map(time -> spread(time, call))
+                .map(time -> spread(longer(time, minRetryAfter(state)), call))
                 .orElse(limits.retryAfter());
     }
 
@@ -220,8 +220,16 @@
         long queued = state.queuedCalls()
                 .filter(other -> other.target().equals(call.target()))
                 .count();
-        Duration time = Duration.ofNanos(Math.round(queued / limit.getAsDouble() * NANOSECONDS_IN_SECOND));
-        return Optional.of(time.compareTo(limits.retryAfter()) > 0 ? time : limits.retryAfter());
+        return Optional.of(Duration.ofNanos(Math.round(queued / limit.getAsDouble() * NANOSECONDS_IN_SECOND)));
+    }
+
+    /** An upstream at its limit has a place every few milliseconds, for one caller: the others would return in vain. */
+    private Duration minRetryAfter(GatewayState state) {
+        return state.rateLimits().isEmpty() ? Duration.ZERO : limits.retryAfter();
+    }
+
+    private static Duration longer(Duration one, Duration other) {
+        return one.compareTo(other) > 0 ? one : other;
     }
 
     /** Extends the time until the end of a pause by up to a part of it, so that callers do not return all at once. */
--- a/gate-core/src/test/java/org/sassafrastrail/gate/RateLimitHandlerTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/RateLimitHandlerTest.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -81,6 +83,21 @@
         assertThat(refuse.retryAfter()).isGreaterThanOrEqualTo(GatewayDriver.LIMITS.retryAfter());
     }
 
+    @Test
+    void callerIsNotToldToReturnAtOnceWhereOtherUpstreamIsPaused() {
+        gateway.register(OTHER);
+        gateway.handle(new GatewayEvent.PauseRequested(OTHER, LONG));
+        gateway.arrive(1, ROUTE);
+        GatewayAction.Refuse refuse = IntStream.range(0, 100)
+                .boxed()
+                .flatMap(tick ->
+                        Stream.of(answer(false, GatewayDriver.TICK.plusMillis(5)), gateway.advance(GatewayDriver.TICK)))
+                .flatMap(actions -> GatewayDriver.first(actions, GatewayAction.Refuse.class).stream())
+                .findFirst()
+                .orElseThrow();
+        assertThat(refuse.retryAfter()).isGreaterThanOrEqualTo(GatewayDriver.LIMITS.retryAfter());
+    }
+
     /** What the limit was before says nothing of when it has room now. */
     @Test
     void refusalIsForgottenWhenLimitChanges() {
