--- a/gate-core/src/main/java/org/sassafrastrail/gate/limit/PermitStock.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/limit/PermitStock.java
@@ -27,6 +27,9 @@
     /** How long an upstream gets nothing of this gateway after a question without an answer. */
     private static final Duration UNANSWERED_CLOSURE = Duration.ofMillis(250);
 
+    /** The longest time between two permits of a gateway that issues all of them; any longer one is soon out of date. */
+    private static final Duration MAX_CLOSURE = Duration.ofSeconds(4);
+
     /** Whether a request can be sent to the upstream. */
     public enum Status {
         /** There is a permit. */
@@ -66,6 +69,15 @@
         return answerable.isAfter(closedUntil) ? answerable : closedUntil;
     }
 
+    /**
+     * Forgets until when none could be had.
+     *
+     * @return the stock
+     */
+    PermitStock reopened() {
+        return new PermitStock(permits, expiresAt, askedAt, Instant.MIN);
+    }
+
     /**
      * Uses one of the permits.
      *
@@ -86,7 +98,8 @@
     }
 
     /**
-     * Records the answer to a question for a permit.
+     * Records the answer to a question for a permit. One that comes when no question waits for it means nothing: answers that
+     * were held up on a link would otherwise be used all at once.
      *
      * @param granted whether it was granted
      * @param delay the time until another one can be had, if it was not
@@ -94,9 +107,16 @@
      * @return the stock
      */
     public PermitStock answered(boolean granted, Duration delay, Instant now) {
+        if (askedAt.isEmpty()) {
+            return this;
+        }
         int unused = now.isBefore(expiresAt) ? permits : 0;
         return granted
                 ? new PermitStock(unused + 1, now.plus(LIFETIME), Optional.empty(), closedUntil)
-                : new PermitStock(unused, expiresAt, Optional.empty(), now.plus(delay));
+                : new PermitStock(unused, expiresAt, Optional.empty(), now.plus(closure(delay)));
+    }
+
+    private static Duration closure(Duration delay) {
+        return delay.compareTo(MAX_CLOSURE) < 0 ? delay : MAX_CLOSURE;
     }
 }
