Name the cause of a refusal, and its time to return, by the request's own target (LIMIT)

A refusal beside a limit was logged and told as UPSTREAMS_PAUSED while an upstream of any target was paused; a pause got the minimum time to return of a limit while an upstream of any target had one, or had had one in the last minute; and a late answer to a permit request was counted as a request held back.

Cause: the three looked at whether anything in the fleet was paused or limited.

Change: the first two ask for the upstreams of the request's target, and an answer that no request waits for changes and counts nothing.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
@@ -54,8 +54,8 @@
     }
 
     /**
-     * Refuses the request that would be dispatched last, if upstreams' limits leave less within its wait than all gateways
-     * could send if this one sent everything.
+     * Refuses the queued request that is last in order, if more requests are queued before it than the limits of all upstreams
+     * let through within its wait, even if no other gateway sent any.
      */
     private Transition<GatewayState, GatewayAction> refuseBeyondLimits(
             GatewayState state, TargetName target, Instant now) {
@@ -149,12 +149,14 @@
         return state.call(number)
                 .filter(Call::isQueued)
                 .filter(call -> isPausedTooLong(state, call, now))
-                .map(call -> refuse(state, call, reasonOfPause(state), now))
+                .map(call -> refuse(state, call, reasonOfPause(state, call, now), now))
                 .orElseGet(() -> Transition.to(state));
     }
 
-    private static RefusalReason reasonOfPause(GatewayState state) {
-        return state.pauses().isEmpty() ? RefusalReason.UPSTREAMS_LIMITED : RefusalReason.UPSTREAMS_PAUSED;
+    private RefusalReason reasonOfPause(GatewayState state, Call call, Instant now) {
+        return scheduler.hasPausedUpstream(state, call.target(), now)
+                ? RefusalReason.UPSTREAMS_PAUSED
+                : RefusalReason.UPSTREAMS_LIMITED;
     }
 
     /**
@@ -207,7 +209,7 @@
                 scheduler.pausedUntil(state, call.target(), Set.of(), now).map(end -> Duration.between(now, end));
         return Stream.concat(untilEndOfPause.stream(), backlogTime(state, call, now).stream())
                 .max(Comparator.naturalOrder())
-                .map(time -> spread(longer(time, minRetryAfter(state)), call))
+                .map(time -> spread(longer(time, minRetryAfter(state, call, now)), call))
                 .orElse(limits.retryAfter());
     }
 
@@ -224,8 +226,8 @@
     }
 
     /** An upstream at its limit has a place every few milliseconds, for one caller: the others would return in vain. */
-    private Duration minRetryAfter(GatewayState state) {
-        return state.rateLimits().isEmpty() ? Duration.ZERO : limits.retryAfter();
+    private Duration minRetryAfter(GatewayState state, Call call, Instant now) {
+        return scheduler.hasLimitedUpstream(state, call.target(), now) ? limits.retryAfter() : Duration.ZERO;
     }
 
     private static Duration longer(Duration one, Duration other) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/PermitOffice.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/PermitOffice.java
@@ -63,9 +63,13 @@
     Transition<GatewayState, GatewayAction> answered(
             GatewayState state, Upstream upstream, boolean granted, Duration delay, Instant now) {
         UpstreamIncarnation incarnation = upstream.incarnation();
-        PermitStock stock = state.permits().stock(incarnation).answered(granted, delay, now);
+        PermitStock before = state.permits().stock(incarnation);
+        PermitStock after = before.answered(granted, delay, now);
+        if (after == before) {
+            return Transition.to(state);
+        }
         Transition<GatewayState, GatewayAction> next =
-                Transition.to(state.with(state.permits().with(incarnation, stock)));
+                Transition.to(state.with(state.permits().with(incarnation, after)));
         return granted ? next : next.then(new GatewayAction.ReportHeldBack(upstream.identifier()));
     }
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -203,6 +203,24 @@
                 .max(Comparator.naturalOrder());
     }
 
+    /** Returns whether an available upstream of a target has asked for a pause. */
+    boolean hasPausedUpstream(GatewayState state, TargetName target, Instant now) {
+        return state.upstreams().values().stream()
+                .filter(upstream -> isAvailable(state, upstream, target, now))
+                .anyMatch(upstream -> state.pauses()
+                        .pausedUntil(upstream.upstream().incarnation(), now)
+                        .isPresent());
+    }
+
+    /** Returns whether an available upstream of a target has a limit on its requests. */
+    boolean hasLimitedUpstream(GatewayState state, TargetName target, Instant now) {
+        return !state.rateLimits().isEmpty()
+                && state.upstreams().values().stream()
+                        .filter(upstream -> isAvailable(state, upstream, target, now))
+                        .anyMatch(
+                                upstream -> state.isLimited(upstream.upstream().incarnation()));
+    }
+
     /**
      * Returns the requests a second that the upstreams of a target take from all gateways, if each of them has a limit.
      *
--- a/gate-core/src/test/java/org/sassafrastrail/gate/RateLimitHandlerTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/RateLimitHandlerTest.java
@@ -22,8 +22,12 @@
     private static final Upstream UPSTREAM = GatewayDriver.upstream("one", GatewayDriver.SERVICE);
     private static final Upstream OTHER = GatewayDriver.upstream("two", GatewayDriver.SERVICE);
     private static final String ISSUER = issuer("b", "c", "d", "e", "f");
+    private static final Upstream ENGINE = GatewayDriver.upstream("engine", GatewayDriver.MODEL);
     private static final Duration LONG = Duration.ofMinutes(3);
 
+    /** Longer than a request may be queued, and shorter than the time after which refused callers return otherwise. */
+    private static final Duration PAUSE = Duration.ofMillis(220);
+
     private final GatewayDriver gateway = new GatewayDriver();
 
     private static String issuer(String... peers) {
@@ -98,6 +102,35 @@
         assertThat(refuse.retryAfter()).isGreaterThanOrEqualTo(GatewayDriver.LIMITS.retryAfter());
     }
 
+    /** Guards against a refusal that named the wrong cause: another target's upstream was paused. */
+    @Test
+    void refusalNamesLimitWhileUpstreamOfOtherTargetIsPaused() {
+        gateway.register(ENGINE);
+        gateway.handle(new GatewayEvent.PauseRequested(ENGINE, LONG));
+        gateway.arrive(1, ROUTE);
+        assertThat(GatewayDriver.first(answer(false, LONG), GatewayAction.Refuse.class)
+                        .map(GatewayAction.Refuse::reason))
+                .contains(RefusalReason.UPSTREAMS_LIMITED);
+    }
+
+    /** Guards against a time to return that followed from the limit of another target's upstream. */
+    @Test
+    void limitOfOtherTargetDoesNotLengthenPause() {
+        gateway.register(ENGINE);
+        gateway.handle(new GatewayEvent.PauseRequested(ENGINE, PAUSE));
+        Route route = GatewayDriver.route("tell", GatewayDriver.MODEL, true, true, 1);
+        GatewayAction.Refuse refuse = GatewayDriver.first(gateway.arrive(1, route), GatewayAction.Refuse.class)
+                .orElseThrow();
+        assertThat(refuse.reason()).isEqualTo(RefusalReason.UPSTREAMS_PAUSED);
+        assertThat(refuse.retryAfter()).isLessThan(GatewayDriver.LIMITS.retryAfter());
+    }
+
+    /** An answer that comes late, or twice, holds no request back. */
+    @Test
+    void answerThatNoRequestWaitsForIsNotCounted() {
+        assertThat(answer(false, LONG)).isEmpty();
+    }
+
     /** What the limit was before says nothing of when it has room now. */
     @Test
     void refusalIsForgottenWhenLimitChanges() {
