Use the field's names for the rate limiter and its requests, and plainer comments

PermitOffice is RateLimiter, LimitedSources is UpstreamSourceWrapper (it has nothing to do with rate limits), a 'question for a permit' is a permit request throughout, isSuccess beside isSuccessful is has2xxStatus. The share from which an issuer issues everything, and the longest closure, say their reasons again.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
@@ -142,7 +142,7 @@
     record RequestPermit(String gateway, LimitReport limit) implements GatewayAction {}
 
     /**
-     * Answer another gateway's question for a permit.
+     * Answer another gateway's permit request.
      *
      * @param gateway the name of the other gateway
      * @param upstream the upstream
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
@@ -18,9 +18,9 @@
      * @param limits the limits for its decisions
      */
     public GatewayCore(GatewayLimits limits) {
-        PermitOffice permits = new PermitOffice();
+        RateLimiter rateLimiter = new RateLimiter();
         Scheduler scheduler =
-                new Scheduler(limits, permits, new CacheAffinityPlacement(limits), new LeastRequestPlacement());
+                new Scheduler(limits, rateLimiter, new CacheAffinityPlacement(limits), new LeastRequestPlacement());
         CallHandler calls = new CallHandler(limits, scheduler);
         CrashHandler crashes =
                 new CrashHandler(limits, new RecurringPartAttribution(limits.minCrashesOfCause()), calls);
@@ -29,7 +29,7 @@
         PauseHandler pauses = new PauseHandler(calls);
         VersionMoveHandler versionMoves = new VersionMoveHandler();
         DrainNoticeHandler drainNotices = new DrainNoticeHandler();
-        RateLimitHandler rateLimits = new RateLimitHandler(permits, calls, scheduler);
+        RateLimitHandler rateLimits = new RateLimitHandler(rateLimiter, calls, scheduler);
         TickHandler ticks = new TickHandler(limits, calls, crashes, drainNotices, rateLimits, scheduler);
         this.handlers = EventRouter.<GatewayState, GatewayEvent, GatewayAction>over(GatewayEvent.class)
                 .on(GatewayEvent.CallArrived.class, calls::callArrived)
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
@@ -155,7 +155,7 @@
     record PermitRequested(String peer, LimitReport limit) implements GatewayEvent {}
 
     /**
-     * Another gateway answered a question for a permit.
+     * Another gateway answered a permit request.
      *
      * @param upstream the upstream
      * @param granted whether the permit was granted
--- a/gate-core/src/main/java/org/sassafrastrail/gate/RateLimitHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/RateLimitHandler.java
@@ -13,12 +13,12 @@
 /** Handles the limits that upstreams name on their requests, and the permits that gateways ask each other for. */
 final class RateLimitHandler {
 
-    private final PermitOffice permits;
+    private final RateLimiter rateLimiter;
     private final CallHandler calls;
     private final Scheduler scheduler;
 
-    RateLimitHandler(PermitOffice permits, CallHandler calls, Scheduler scheduler) {
-        this.permits = permits;
+    RateLimitHandler(RateLimiter rateLimiter, CallHandler calls, Scheduler scheduler) {
+        this.rateLimiter = rateLimiter;
         this.calls = calls;
         this.scheduler = scheduler;
     }
@@ -83,11 +83,11 @@
         return limit.isPresent() ? Double.toString(limit.getAsDouble()) : "no limit";
     }
 
-    /** Answers a peer's question for a permit. */
+    /** Answers a peer's permit request. */
     Transition<GatewayState, GatewayAction> permitRequested(
             GatewayState state, GatewayEvent.PermitRequested event, Instant now) {
         GatewayState informed = state.with(state.rateLimits().mergedWith(List.of(event.limit()), now));
-        return permits.answer(informed, event.peer(), event.limit().upstream(), now);
+        return rateLimiter.answer(informed, event.peer(), event.limit().upstream(), now);
     }
 
     /** Uses the permit that this gateway asked for, or sends the requests that wait for it elsewhere. */
@@ -97,7 +97,8 @@
                 .map(UpstreamState::upstream)
                 .filter(known -> known.incarnation().equals(event.upstream()))
                 .findFirst();
-        return upstream.map(known -> permits.answered(state, known, event.granted(), event.delay(), now)
+        return upstream.map(known -> rateLimiter
+                        .answered(state, known, event.granted(), event.delay(), now)
                         .and(next -> scheduler.dispatchQueued(next, known.target(), now))
                         .and(next -> calls.refusePaused(next, known.target(), now)))
                 .orElseGet(() -> Transition.to(state));
--- a/gate-core/src/main/java/org/sassafrastrail/gate/PermitOffice.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/RateLimiter.java
@@ -11,14 +11,17 @@
 import org.sassafrastrail.gate.limit.Permits;
 
 /**
- * Issues and asks for permits, one a request, for upstreams with a limit. Of the connected gateways one issues those of an
- * upstream, by rendezvous hashing. If that one is connected to few of the gateways, it issues the part of those, and a gateway
- * that doesn't see itself in that place issues the part of one, so that the permits of a fleet that is split add up to little
- * more than the limit.
+ * Issues and asks for permits, one a request, for upstreams with a limit. For each upstream, rendezvous hashing over the
+ * connected gateways names one as the issuer. An issuer that is connected to few gateways issues their share of the limit, and
+ * any other gateway that is asked issues the share of one, so that the permits of a split fleet add up to little more than
+ * the limit.
  */
-final class PermitOffice {
+final class RateLimiter {
 
-    /** The share of the gateways without the rest of which, stopped or cut off, the limit is used in full. */
+    /**
+     * An issuer that is connected to this share of the gateways issues the whole limit, because the others have most likely
+     * stopped. If they are only cut off, they issue at most the remaining share beside it.
+     */
     private static final double SHARE_THAT_ISSUES_ALL = 0.75;
 
     /** Returns whether a request can be sent to an upstream; one without a limit is always open. */
@@ -59,7 +62,7 @@
                 .then(new GatewayAction.RequestPermit(issuer, state.rateLimits().report(incarnation, now)));
     }
 
-    /** Takes note of the answer to a question for a permit. */
+    /** Takes note of the answer to a permit request. */
     Transition<GatewayState, GatewayAction> answered(
             GatewayState state, Upstream upstream, boolean granted, Duration delay, Instant now) {
         UpstreamIncarnation incarnation = upstream.incarnation();
@@ -73,7 +76,7 @@
         return granted ? next : next.then(new GatewayAction.ReportHeldBack(upstream.identifier()));
     }
 
-    /** Answers a peer's question. */
+    /** Answers a peer's permit request. */
     Transition<GatewayState, GatewayAction> answer(
             GatewayState state, String peer, UpstreamIncarnation upstream, Instant now) {
         Permits.Answer answer = issue(state, upstream, now);
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -19,13 +19,13 @@
     private static final double FULL_SHARE = 1;
 
     private final GatewayLimits limits;
-    private final PermitOffice permits;
+    private final RateLimiter rateLimiter;
     private final Placement cacheAffinity;
     private final Placement leastRequest;
 
-    Scheduler(GatewayLimits limits, PermitOffice permits, Placement cacheAffinity, Placement leastRequest) {
+    Scheduler(GatewayLimits limits, RateLimiter rateLimiter, Placement cacheAffinity, Placement leastRequest) {
         this.limits = limits;
-        this.permits = permits;
+        this.rateLimiter = rateLimiter;
         this.cacheAffinity = cacheAffinity;
         this.leastRequest = leastRequest;
     }
@@ -100,9 +100,9 @@
     private Optional<Transition<GatewayState, GatewayAction>> dispatchIfPermitted(
             GatewayState state, Call call, Placement.Choice choice, Instant now) {
         Upstream upstream = choice.candidate().upstream().upstream();
-        return switch (permits.status(state, upstream, now)) {
+        return switch (rateLimiter.status(state, upstream, now)) {
             case OPEN -> Optional.of(dispatch(state, call, choice, now));
-            case ASKABLE -> Optional.of(permits.ask(state, upstream, now));
+            case ASKABLE -> Optional.of(rateLimiter.ask(state, upstream, now));
             case ASKED, CLOSED -> Optional.empty();
         };
     }
@@ -167,7 +167,7 @@
     private boolean isEligible(GatewayState state, UpstreamState upstream, TargetName target, Instant now) {
         return isAvailable(state, upstream, target, now)
                 && state.pauses().allows(upstream, state.peers().gateways(), now)
-                && permits.closedUntil(state, upstream.upstream(), now).isEmpty();
+                && rateLimiter.closedUntil(state, upstream.upstream(), now).isEmpty();
     }
 
     /**
@@ -198,7 +198,7 @@
     private Optional<Instant> unavailableUntil(GatewayState state, Upstream upstream, Instant now) {
         return Stream.of(
                         state.pauses().pausedUntil(upstream.incarnation(), now),
-                        permits.closedUntil(state, upstream, now))
+                        rateLimiter.closedUntil(state, upstream, now))
                 .flatMap(Optional::stream)
                 .max(Comparator.naturalOrder());
     }
@@ -308,7 +308,7 @@
         GatewayState next =
                 recorded.with(dispatched).with(choice.candidate().upstream().dispatched(attempt, now));
         return Transition.<GatewayState, GatewayAction>to(
-                        permits.used(VersionMoveHandler.dispatched(next, attempt.upstream()), attempt.upstream()))
+                        rateLimiter.used(VersionMoveHandler.dispatched(next, attempt.upstream()), attempt.upstream()))
                 .then(action);
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/limit/PermitStock.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/limit/PermitStock.java
@@ -18,16 +18,16 @@
     /** No permit, and none was asked for. */
     public static final PermitStock EMPTY = new PermitStock(0, Instant.MIN, Optional.empty(), Instant.MIN);
 
-    /** Long enough for the request that waits for it to be dispatched. */
+    /** How long a permit can be used. */
     private static final Duration LIFETIME = Duration.ofMillis(300);
 
-    /** Longer than a question and its answer take between two gateways that keep up. */
+    /** Longer than a permit request and its answer take between two gateways that keep up. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(100);
 
-    /** How long an upstream gets nothing of this gateway after a question without an answer. */
+    /** How long an upstream gets nothing of this gateway after a permit request without an answer. */
     private static final Duration UNANSWERED_CLOSURE = Duration.ofMillis(250);
 
-    /** The longest time between two permits of a gateway that issues all of them; any longer one is soon out of date. */
+    /** The time between two permits at the smallest limit; a longer one is out of date before it has passed. */
     private static final Duration MAX_CLOSURE = Duration.ofSeconds(4);
 
     /** Whether a request can be sent to the upstream. */
@@ -98,7 +98,7 @@
     }
 
     /**
-     * Records the answer to a question for a permit. One that comes when no question waits for it means nothing: answers that
+     * Records the answer to a permit request. One that comes when no request waits for it means nothing: answers that
      * were held up on a link would otherwise be used all at once.
      *
      * @param granted whether it was granted
--- a/gate-core/src/main/java/org/sassafrastrail/gate/limit/Permits.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/limit/Permits.java
@@ -21,7 +21,7 @@
     public static final Permits NONE = new Permits(HashTreePMap.empty(), HashTreePMap.empty());
 
     /**
-     * An answer to a question for a permit.
+     * An answer to a permit request.
      *
      * @param permits what is left
      * @param granted whether a permit was issued
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -216,7 +216,7 @@
     @Override
     public void responseStarted(UpstreamResponseHead started) {
         responseHead = started;
-        if (splitter.isPresent() && started.isSuccess()) {
+        if (splitter.isPresent() && started.has2xxStatus()) {
             responseBody =
                     new EventStreamBody(started.withoutLength(), response, splitter.get(), memory, this::reportStart);
         } else {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -117,7 +117,7 @@
                 .forEach(this::dialIfValid);
     }
 
-    /** Stops to dial gateways that are gone. A link that works is kept: a registration may be missing though its gateway runs. */
+    /** Stops dialing gateways that are gone. A link that works is kept: a registration may be missing though its gateway runs. */
     private void stopDialingOthersThan(Collection<String> gateways) {
         dialers.entrySet().stream()
                 .filter(dialed -> !gateways.contains(dialed.getKey())
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerNotifier.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerNotifier.java
@@ -26,6 +26,6 @@
     /** Asks a peer for a permit. */
     void requestPermit(GatewayAction.RequestPermit request);
 
-    /** Answers a peer's question for a permit. */
+    /** Answers a peer's permit request. */
     void answerPermitRequest(GatewayAction.AnswerPermitRequest answer);
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnectionPool.java
@@ -24,7 +24,7 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
-    private final LimitedSources sources = new LimitedSources();
+    private final UpstreamSourceWrapper sources = new UpstreamSourceWrapper();
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
     private final IdleUpstreamConnections idle = new IdleUpstreamConnections(System::nanoTime);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamResponseHead.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamResponseHead.java
@@ -31,9 +31,9 @@
         return kind == ResponseKind.ANSWERED && status < StatusCodes.BAD_REQUEST;
     }
 
-    /** Returns whether this is a success, with a status of the class 2xx. */
-    boolean isSuccess() {
-        return kind == ResponseKind.ANSWERED && status >= StatusCodes.OK && status < StatusCodes.MULTIPLE_CHOICES;
+    /** Returns whether the status is of the class 2xx. */
+    boolean has2xxStatus() {
+        return status >= StatusCodes.OK && status < StatusCodes.MULTIPLE_CHOICES;
     }
 
     /** Returns the head of a stream that another upstream may resume, so that its length is not known. */
--- a/gateway/src/main/java/org/sassafrastrail/gateway/LimitedSources.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamSourceWrapper.java
@@ -10,7 +10,7 @@
  * Puts an {@link UnproductiveReadLimit} and a {@link ChunkChecker} in front of what reads from new connections. Confined to one
  * I/O thread.
  */
-final class LimitedSources implements UnaryOperator<StreamSourceConduit> {
+final class UpstreamSourceWrapper implements UnaryOperator<StreamSourceConduit> {
 
     private UnproductiveReadLimit lastLimit;
     private ChunkChecker lastChecker;
--- a/messages/src/main/java/org/sassafrastrail/messages/PermitAnswer.java
+++ b/messages/src/main/java/org/sassafrastrail/messages/PermitAnswer.java
@@ -1,7 +1,7 @@
 package org.sassafrastrail.messages;
 
 /**
- * Answers a question for a permit.
+ * Answers a permit request.
  *
  * @param upstream the identifier of the upstream
  * @param startedAtMillis the start of the upstream in wall-clock milliseconds, 0 if unknown
