--- a/application/src/main/java/org/sassafrastrail/application/GatewayTrainingRun.java
+++ b/application/src/main/java/org/sassafrastrail/application/GatewayTrainingRun.java
@@ -85,6 +85,7 @@
     private boolean run(int storePort) {
         GatewaySettings settings = new GatewaySettings(
                 "rehearsal",
+                null,
                 HOST + ":" + callerPort,
                 HOST + ":" + freePort(),
                 HOST + ":" + freePort(),
--- a/gate-core/src/main/java/org/sassafrastrail/gate/FleetView.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/FleetView.java
@@ -3,6 +3,7 @@
 import org.sassafrastrail.gate.crash.CrashEvidence;
 import org.sassafrastrail.gate.limit.Permits;
 import org.sassafrastrail.gate.limit.RateLimits;
+import org.sassafrastrail.gate.rotation.Rotation;
 
 /**
  * What a gateway knows together with the other gateways.
@@ -13,6 +14,7 @@
  * @param drainNotices the upstreams that said that they are draining
  * @param rateLimits the limits that upstreams named on their requests
  * @param permits the permits for upstreams with a limit
+ * @param rotation whether this gateway is in the load balancer's rotation
  */
 record FleetView(
         Peers peers,
@@ -20,29 +22,34 @@
         CrashEvidence crashes,
         DrainNotices drainNotices,
         RateLimits rateLimits,
-        Permits permits) {
+        Permits permits,
+        Rotation rotation) {
 
     FleetView with(Peers next) {
-        return new FleetView(next, shares, crashes, drainNotices, rateLimits, permits);
+        return new FleetView(next, shares, crashes, drainNotices, rateLimits, permits, rotation);
     }
 
     FleetView with(AccountShares next) {
-        return new FleetView(peers, next, crashes, drainNotices, rateLimits, permits);
+        return new FleetView(peers, next, crashes, drainNotices, rateLimits, permits, rotation);
     }
 
     FleetView with(CrashEvidence next) {
-        return new FleetView(peers, shares, next, drainNotices, rateLimits, permits);
+        return new FleetView(peers, shares, next, drainNotices, rateLimits, permits, rotation);
     }
 
     FleetView with(DrainNotices next) {
-        return new FleetView(peers, shares, crashes, next, rateLimits, permits);
+        return new FleetView(peers, shares, crashes, next, rateLimits, permits, rotation);
     }
 
     FleetView with(RateLimits next) {
-        return new FleetView(peers, shares, crashes, drainNotices, next, permits);
+        return new FleetView(peers, shares, crashes, drainNotices, next, permits, rotation);
     }
 
     FleetView with(Permits next) {
-        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, next);
+        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, next, rotation);
+    }
+
+    FleetView with(Rotation next) {
+        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, permits, next);
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
@@ -7,6 +7,8 @@
 
 import org.sassafrastrail.gate.crash.UpstreamIncarnation;
 import org.sassafrastrail.gate.limit.LimitReport;
+import org.sassafrastrail.gate.rotation.Rotation;
+import org.sassafrastrail.gate.rotation.RotationReport;
 import org.sassafrastrail.model.RefusalReason;
 
 /** An action that a gateway's decision asks to be carried out. */
@@ -174,6 +176,20 @@
      */
     record RejectVersion(VersionMove move) implements GatewayAction {}
 
+    /**
+     * Tell the other gateways this gateway's place in the rotation.
+     *
+     * @param report what to tell
+     */
+    record ShareRotation(RotationReport report) implements GatewayAction {}
+
+    /**
+     * Log that this gateway left the rotation or returned to it.
+     *
+     * @param rotation the new state
+     */
+    record ReportRotation(Rotation rotation) implements GatewayAction {}
+
     /** The graceful shutdown is complete, or its maximum time has passed: the process may exit. */
     record Drained() implements GatewayAction {}
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
@@ -6,6 +6,7 @@
 import org.sassafrastrail.decision.EventRouter;
 import org.sassafrastrail.decision.Transition;
 import org.sassafrastrail.gate.crash.RecurringPartAttribution;
+import org.sassafrastrail.gate.rotation.OverloadRotationPolicy;
 
 /** The decision core of a gateway: routing, admission, scheduling, placement, retries and upstream health. */
 public final class GatewayCore implements DecisionCore<GatewayState, GatewayEvent, GatewayAction> {
@@ -30,6 +31,7 @@
         VersionMoveHandler versionMoves = new VersionMoveHandler();
         DrainNoticeHandler drainNotices = new DrainNoticeHandler();
         RateLimitHandler rateLimits = new RateLimitHandler(rateLimiter, calls, scheduler);
+        RotationHandler rotation = new RotationHandler(new OverloadRotationPolicy());
         TickHandler ticks = new TickHandler(limits, calls, crashes, drainNotices, rateLimits, scheduler);
         this.handlers = EventRouter.<GatewayState, GatewayEvent, GatewayAction>over(GatewayEvent.class)
                 .on(GatewayEvent.CallArrived.class, calls::callArrived)
@@ -53,6 +55,8 @@
                 .on(GatewayEvent.PeerDisconnected.class, clusterState::peerDisconnected)
                 .on(GatewayEvent.VersionMovesChanged.class, versionMoves::movesChanged)
                 .on(GatewayEvent.VersionRejected.class, versionMoves::versionRejected)
+                .on(GatewayEvent.LoadMeasured.class, rotation::loadMeasured)
+                .on(GatewayEvent.PeerRotationReceived.class, rotation::peerRotationReceived)
                 .on(GatewayEvent.Ticked.class, ticks::ticked)
                 .on(GatewayEvent.StopRequested.class, ticks::stopRequested)
                 .complete();
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
@@ -9,6 +9,8 @@
 import org.pcollections.PSet;
 import org.sassafrastrail.gate.crash.UpstreamIncarnation;
 import org.sassafrastrail.gate.limit.LimitReport;
+import org.sassafrastrail.gate.rotation.ProcessLoad;
+import org.sassafrastrail.gate.rotation.RotationReport;
 import org.sassafrastrail.model.FailureDomainName;
 
 /** An event that a gateway decides on. */
@@ -177,6 +179,21 @@
      */
     record VersionRejected(VersionMove move) implements GatewayEvent {}
 
+    /**
+     * The load of this process was measured.
+     *
+     * @param load the load
+     */
+    record LoadMeasured(ProcessLoad load) implements GatewayEvent {}
+
+    /**
+     * Another gateway told its place in the rotation.
+     *
+     * @param peer the name of the other gateway
+     * @param report what it told
+     */
+    record PeerRotationReceived(String peer, RotationReport report) implements GatewayEvent {}
+
     /** The periodic tick. */
     record Ticked() implements GatewayEvent {}
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -13,6 +13,7 @@
 import org.sassafrastrail.gate.crash.UpstreamIncarnation;
 import org.sassafrastrail.gate.limit.Permits;
 import org.sassafrastrail.gate.limit.RateLimits;
+import org.sassafrastrail.gate.rotation.Rotation;
 import org.sassafrastrail.model.FailureDomainName;
 import org.sassafrastrail.model.TargetName;
 
@@ -44,6 +45,18 @@
      * @return the state
      */
     public static GatewayState start(String gateway, Duration quotaWindow) {
+        return start(gateway, Optional.empty(), quotaWindow);
+    }
+
+    /**
+     * Creates the initial state of a gateway whose failure domain may be known.
+     *
+     * @param gateway the name of this gateway
+     * @param domain its failure domain, empty if it is not known
+     * @param quotaWindow the time over which client accounts share capacity
+     * @return the state
+     */
+    public static GatewayState start(String gateway, Optional<FailureDomainName> domain, Duration quotaWindow) {
         return new GatewayState(
                 ClusterView.EMPTY,
                 OpenCalls.NONE,
@@ -53,7 +66,8 @@
                         CrashEvidence.NONE,
                         DrainNotices.NONE,
                         RateLimits.NONE,
-                        Permits.NONE),
+                        Permits.NONE,
+                        Rotation.start(domain)),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
                 UpstreamPauses.NONE,
@@ -123,6 +137,15 @@
         return fleet.permits();
     }
 
+    /**
+     * Returns whether this gateway is in the load balancer's rotation.
+     *
+     * @return the state of the rotation
+     */
+    public Rotation rotation() {
+        return fleet.rotation();
+    }
+
     /**
      * Returns whether an upstream has named a limit on its requests that is in force.
      *
@@ -234,6 +257,10 @@
         return next == permits() ? this : with(fleet.with(next));
     }
 
+    GatewayState with(Rotation next) {
+        return next == rotation() ? this : with(fleet.with(next));
+    }
+
     GatewayState with(TargetName target, RetryBudget next) {
         return new GatewayState(
                 cluster, openCalls, fleet, retryBudgets.plus(target, next), versionTrials, pauses, stoppingSince);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerListener.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerListener.java
@@ -110,6 +110,9 @@
 
     /** Accepts new connections, or leaves them in the operating system's short queue. Can be called before the start. */
     synchronized void setAccepting(boolean accepting) {
+        if (accepting == this.accepting) {
+            return;
+        }
         this.accepting = accepting;
         if (server != null && server.isOpen()) {
             applyAccepting();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -17,6 +17,8 @@
 import org.sassafrastrail.gate.GatewayCore;
 import org.sassafrastrail.gate.GatewayEvent;
 import org.sassafrastrail.gate.GatewayState;
+import org.sassafrastrail.gate.rotation.ProcessLoad;
+import org.sassafrastrail.gate.rotation.Rotation;
 import org.sassafrastrail.http.JsonResponses;
 import org.sassafrastrail.model.Incarnation;
 import org.sassafrastrail.runtime.ControlLoop;
@@ -92,7 +94,7 @@
         this.control = new ControlLoop<>(
                 "control",
                 new GatewayCore(settings.limits()),
-                GatewayState.start(settings.node(), settings.quotaWindow()),
+                GatewayState.start(settings.node(), settings.domain(), settings.quotaWindow()),
                 actions,
                 clock,
                 metrics,
@@ -128,22 +130,32 @@
         exchange.endExchange();
     }
 
-    /** An overloaded gateway is not ready either, so that it serves the callers that it has and gets no new ones. */
+    /**
+     * A gateway that is out of rotation is not ready, so that it serves the callers that it has and gets no new ones. Without
+     * another gateway in its failure domain, it is not ready while it is overloaded.
+     */
     private boolean ready() {
-        return state().ready() && admission.isCaughtUp();
+        Rotation rotation = state().rotation();
+        return state().ready() && (rotation.hasAlternatives() ? rotation.inRotation() : admission.isCaughtUp());
     }
 
     private void tick() {
         ioThreadLag.probe();
         activity.logIfDue();
         updateOverload(!admission.isCaughtUp());
+        post(new GatewayEvent.LoadMeasured(new ProcessLoad(lag(), callers.connectionCount())));
         post(new GatewayEvent.Ticked());
     }
 
+    /**
+     * While this gateway reports ready, callers are sent to it and need a response, if only a refusal that sends them to
+     * another gateway. So it leaves connections waiting only where it has told the load balancer.
+     */
     private void updateOverload(boolean overloaded) {
+        Rotation rotation = state().rotation();
+        callerListener.setAccepting(!overloaded || rotation.hasAlternatives() && rotation.inRotation());
         if (overloaded != this.overloaded) {
             this.overloaded = overloaded;
-            callerListener.setAccepting(!overloaded);
             log.warn(
                     overloaded ? "overloaded" : "keeps-up",
                     LogField.of("control-lag-ms", control.lag().toMillis()),
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
@@ -2,14 +2,17 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import org.sassafrastrail.gate.DrainSchedule;
 import org.sassafrastrail.gate.GatewayLimits;
+import org.sassafrastrail.model.FailureDomainName;
 
 /**
  * The settings of a gateway.
  *
  * @param node the name of the gateway
+ * @param failureDomain the failure domain of the gateway; null if it is not known
  * @param callers the address to listen on for callers, host and port
  * @param readiness the address to listen on for readiness checks and metrics, host and port
  * @param links the address to listen on for other gateways, host and port
@@ -27,6 +30,7 @@
  */
 public record GatewaySettings(
         String node,
+        String failureDomain,
         String callers,
         String readiness,
         String links,
@@ -112,6 +116,15 @@
                 drain());
     }
 
+    /**
+     * Returns the failure domain of the gateway.
+     *
+     * @return the failure domain, empty if it is not known
+     */
+    public Optional<FailureDomainName> domain() {
+        return Optional.ofNullable(failureDomain).map(FailureDomainName::new);
+    }
+
     private DrainSchedule drain() {
         Duration maximum =
                 seconds(orDefault(graceSeconds, DEFAULT_GRACE_SECONDS)).minus(EXIT_TIME);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -18,6 +18,7 @@
 import org.sassafrastrail.gate.GatewayEvent;
 import org.sassafrastrail.gate.GatewayReport;
 import org.sassafrastrail.gate.limit.LimitReport;
+import org.sassafrastrail.gate.rotation.RotationReport;
 import org.sassafrastrail.messages.CopiedRow;
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.CrashUpdate;
@@ -28,6 +29,7 @@
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.messages.PermitAnswer;
 import org.sassafrastrail.messages.PermitRequest;
+import org.sassafrastrail.messages.RotationUpdate;
 import org.sassafrastrail.messages.TableCopy;
 import org.sassafrastrail.model.Incarnation;
 import org.sassafrastrail.model.NodeName;
@@ -189,6 +191,11 @@
         sendToAll(RateLimitMapper.toMessage(reports));
     }
 
+    @Override
+    public void shareRotation(RotationReport report) {
+        sendToAll(RotationUpdateMapper.toMessage(report));
+    }
+
     @Override
     public void requestPermit(GatewayAction.RequestPermit request) {
         sendTo(request.gateway(), RateLimitMapper.toMessage(request));
@@ -226,6 +233,9 @@
             events.accept(new GatewayEvent.PeerDrainNoticesReceived(DrainUpdateMapper.fromMessage(update)));
         } else if (message instanceof LimitUpdate update) {
             events.accept(new GatewayEvent.PeerRateLimitsReceived(RateLimitMapper.fromMessage(update)));
+        } else if (message instanceof RotationUpdate update) {
+            events.accept(new GatewayEvent.PeerRotationReceived(
+                    link.peer().node().value(), RotationUpdateMapper.fromMessage(update)));
         } else if (message instanceof PermitRequest request && RateLimitMapper.isValid(request.upstream())) {
             events.accept(new GatewayEvent.PermitRequested(
                     link.peer().node().value(), RateLimitMapper.fromMessage(request.upstream())));
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerNotifier.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerNotifier.java
@@ -7,6 +7,7 @@
 import org.sassafrastrail.gate.GatewayAction;
 import org.sassafrastrail.gate.GatewayReport;
 import org.sassafrastrail.gate.limit.LimitReport;
+import org.sassafrastrail.gate.rotation.RotationReport;
 
 /** Sends what this gateway has decided to tell its peers. */
 interface PeerNotifier {
@@ -23,6 +24,9 @@
     /** Tells all peers which limits upstreams named. */
     void shareRateLimits(List<LimitReport> reports);
 
+    /** Tells all peers this gateway's place in the load balancer's rotation. */
+    void shareRotation(RotationReport report);
+
     /** Asks a peer for a permit. */
     void requestPermit(GatewayAction.RequestPermit request);
 
--- a/gateway/src/test/java/org/sassafrastrail/gateway/PeerLinksTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/PeerLinksTest.java
@@ -40,6 +40,7 @@
     private final PeerLinks links = new PeerLinks(
             new GatewaySettings(
                     "own",
+                    null,
                     "127.0.0.1:1",
                     "127.0.0.1:1",
                     OWN,
--- a/messages/src/main/java/org/sassafrastrail/messages/Message.java
+++ b/messages/src/main/java/org/sassafrastrail/messages/Message.java
@@ -21,4 +21,5 @@
                 DrainUpdate,
                 LimitUpdate,
                 PermitRequest,
-                PermitAnswer {}
+                PermitAnswer,
+                RotationUpdate {}
--- a/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
@@ -21,6 +21,7 @@
 import org.sassafrastrail.messages.MoveUpdate;
 import org.sassafrastrail.messages.PermitAnswer;
 import org.sassafrastrail.messages.PermitRequest;
+import org.sassafrastrail.messages.RotationUpdate;
 import org.sassafrastrail.messages.RulesAnnouncement;
 import org.sassafrastrail.messages.RulesRequest;
 import org.sassafrastrail.messages.TableCopy;
@@ -46,7 +47,8 @@
     DRAIN_UPDATE(17, DrainUpdate.class),
     LIMIT_UPDATE(18, LimitUpdate.class),
     PERMIT_REQUEST(19, PermitRequest.class),
-    PERMIT_ANSWER(20, PermitAnswer.class);
+    PERMIT_ANSWER(20, PermitAnswer.class),
+    ROTATION_UPDATE(21, RotationUpdate.class);
 
     private final byte number;
     private final Class<? extends Message> type;
--- a/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
+++ b/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
@@ -42,6 +42,7 @@
 import org.sassafrastrail.messages.MoveUpdate;
 import org.sassafrastrail.messages.PermitAnswer;
 import org.sassafrastrail.messages.PermitRequest;
+import org.sassafrastrail.messages.RotationUpdate;
 import org.sassafrastrail.messages.RulesAnnouncement;
 import org.sassafrastrail.messages.RulesRequest;
 import org.sassafrastrail.messages.SuspectPart;
@@ -103,6 +104,7 @@
                         new LimitedUpstream("i-2", 0, OptionalDouble.empty(), 0))),
                 new PermitRequest(new LimitedUpstream("i-1", 1_770_000_000_000L, OptionalDouble.of(0.5), 40)),
                 new PermitAnswer("i-1", 1_770_000_000_000L, false, 85),
+                new RotationUpdate(new FailureDomainName("north"), false, 0.25, 430),
                 new CopyRequest("servers", 17),
                 new TableCopy("servers", 18, List.of()),
                 new Demand(List.of(new AccountDemand(new AccountName("kitchen"), 3, 100, 20))),
