--- a/application/src/main/java/org/sassafrastrail/application/PlatformGatewayFactory.java
+++ b/application/src/main/java/org/sassafrastrail/application/PlatformGatewayFactory.java
@@ -26,12 +26,13 @@
         UndertowHttpClient store = new UndertowHttpClient(1);
         HostAndPort address = HostAndPort.parse(settings.store());
         StoreEndpoint endpoint = new StoreEndpoint(address.host(), address.port(), STORE_TIMEOUT);
+        Clock monotonic = new MonotonicClock(clock);
         return new CompositeService(List.of(
                 store,
                 new GatewayDaemon(
                         settings,
                         new PlatformHeaders(),
-                        new PlatformClusterStateWatcher(store, endpoint, settings.node()),
-                        new MonotonicClock(clock))));
+                        new PlatformClusterStateWatcher(store, endpoint, settings.node(), monotonic),
+                        monotonic)));
     }
 }
--- a/durable/src/main/java/org/sassafrastrail/durable/WatchedTable.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/WatchedTable.java
@@ -72,31 +72,60 @@
      * @return whether the store responded with rows
      */
     public boolean poll() {
+        return poll(changes -> {});
+    }
+
+    /**
+     * Polls the feed once for changes, or reads the whole table if it is not loaded yet.
+     *
+     * @param onRead receives what was read, also if nothing has changed
+     * @return whether the store responded with rows
+     */
+    public boolean poll(Consumer<TableChanges> onRead) {
         long known = snapshot().version();
         ChangeFeedResult result = known == NOT_LOADED ? feed.readAll() : feed.changesSince(known, maximumWait);
         if (result instanceof ChangeFeedResult.Rows update) {
             readSucceeded(update);
             apply(update, known == NOT_LOADED);
+            onRead.accept(new TableChanges(known, update.version(), update.rows()));
             return true;
         }
         if (result instanceof ChangeFeedResult.HistoryExpired) {
-            return reload();
+            return reload(onRead);
         }
         readFailed(((ChangeFeedResult.Unavailable) result).reason());
         return false;
     }
 
-    private boolean reload() {
+    private boolean reload(Consumer<TableChanges> onRead) {
         ChangeFeedResult result = feed.readAll();
         if (result instanceof ChangeFeedResult.Rows update) {
             readSucceeded(update);
             apply(update, true);
+            onRead.accept(new TableChanges(NOT_LOADED, update.version(), update.rows()));
             return true;
         }
         readFailed("history expired");
         return false;
     }
 
+    /**
+     * Applies what another process read.
+     *
+     * @param changes what it read
+     * @return whether the copy reflects the version up to which the other process read; false if that is older than the copy, or
+     *     the copy lacks changes before those
+     */
+    public synchronized boolean apply(TableChanges changes) {
+        boolean wholeTable = changes.fromVersion() == NOT_LOADED;
+        boolean connects = wholeTable || version != NOT_LOADED && changes.fromVersion() <= version;
+        if (!connects || changes.version() < version) {
+            return false;
+        }
+        apply(new ChangeFeedResult.Rows(changes.rows(), changes.version()), wholeTable);
+        return true;
+    }
+
     private void readSucceeded(ChangeFeedResult.Rows update) {
         if (!available) {
             available = true;
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -146,6 +146,15 @@
         return fleet.rotation();
     }
 
+    /**
+     * Returns which gateways of the failure domain read the tables of the store.
+     *
+     * @return the gateways
+     */
+    public TableWatchers tableWatchers() {
+        return new TableWatchers(peers().self(), rotation().gatewaysOfDomain());
+    }
+
     /**
      * Returns whether an upstream has named a limit on its requests that is in force.
      *
--- a/gate-core/src/main/java/org/sassafrastrail/gate/rotation/Rotation.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/rotation/Rotation.java
@@ -2,7 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.pcollections.HashTreePMap;
@@ -70,6 +73,18 @@
         return domainPeers().findAny().isPresent();
     }
 
+    /**
+     * Returns the connected gateways of the same failure domain.
+     *
+     * @return their names
+     */
+    public Set<String> gatewaysOfDomain() {
+        return peers.entrySet().stream()
+                .filter(peer -> isOfDomain(peer.getValue()))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     /**
      * Returns the time from one connection that is handed over to the next.
      *
@@ -188,8 +203,11 @@
     }
 
     private Stream<PeerRotation> domainPeers() {
-        return peers.values().stream()
-                .filter(peer -> domain.filter(peer.report().domain()::equals).isPresent());
+        return peers.values().stream().filter(this::isOfDomain);
+    }
+
+    private boolean isOfDomain(PeerRotation peer) {
+        return domain.filter(peer.report().domain()::equals).isPresent();
     }
 
     /** Returns how many of the other gateways of the domain are out of rotation. One whose report is old counts as in rotation. */
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerListener.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerListener.java
@@ -39,7 +39,7 @@
     private final Metrics metrics;
     private final EventLog log;
     private AcceptingChannel<? extends StreamConnection> server;
-    private volatile boolean accepting = true;
+    private volatile NewConnections newConnections = NewConnections.ACCEPT;
 
     CallerListener(
             String address,
@@ -82,20 +82,20 @@
 
     /**
      * Accepts a batch of waiting connections per event. Undertow's own listener accepts one, so that under a high
-     * connection rate callers wait for seconds and their requests are read too late. If accepting is suspended when an
-     * event is processed, the waiting connections are closed unread, which costs far less than a refusal.
+     * connection rate callers wait for seconds and their requests are read too late. If connections are not accepted when an
+     * event is processed, the waiting ones are closed unread, which costs far less than a refusal.
      */
     private void acceptBatch(AcceptingChannel<? extends StreamConnection> channel) {
         try {
             int accepted = 0;
             StreamConnection next = channel.accept();
             while (next != null) {
-                if (!accepting) {
+                if (newConnections != NewConnections.ACCEPT) {
                     closeUnread(next);
                 } else {
                     listener.handleEvent(next);
-                    accepted++;
                 }
+                accepted++;
                 next = accepted < MAX_ACCEPTS_PER_EVENT ? channel.accept() : null;
             }
         } catch (IOException failed) {
@@ -108,19 +108,19 @@
         IoUtils.safeClose(connection);
     }
 
-    /** Accepts new connections, or leaves them in the operating system's short queue. Can be called before the start. */
-    synchronized void setAccepting(boolean accepting) {
-        if (accepting == this.accepting) {
+    /** Sets what happens to new connections from now on. Can be called before the start. */
+    synchronized void setNewConnections(NewConnections next) {
+        if (next == newConnections) {
             return;
         }
-        this.accepting = accepting;
+        newConnections = next;
         if (server != null && server.isOpen()) {
             applyAccepting();
         }
     }
 
     private void applyAccepting() {
-        if (accepting) {
+        if (newConnections != NewConnections.LEAVE_WAITING) {
             server.resumeAccepts();
         } else {
             server.suspendAccepts();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -88,7 +88,8 @@
         LoggingCallRecorder recorder = new LoggingCallRecorder(metrics, log, accounts);
         this.callers = new CallerFrontEnd(protocol, this::state, this::post, recorder, admission, clock, buffers);
         this.activity = new ActivityLog(accounts, this::state, this::lag, callers::connectionCount, clock, log);
-        this.peers = new PeerLinks(settings, new Incarnation(clock.millis()), this::post, metrics, log);
+        this.peers = new PeerLinks(
+                settings, new Incarnation(clock.millis()), this::post, () -> state().tableWatchers(), metrics, log);
         GatewayActionExecutor actions = new GatewayActionExecutor(
                 callers, peers, clusterState::rejectVersion, drained::countDown, recorder, metrics, log);
         this.control = new ControlLoop<>(
@@ -148,12 +149,12 @@
     }
 
     /**
-     * While this gateway reports ready, callers are sent to it and need a response, if only a refusal that sends them to
-     * another gateway. So it leaves connections waiting only where it has told the load balancer.
+     * While this gateway reports ready, callers are sent to it, and under overload they must learn at once that they need another
+     * gateway. It leaves them waiting only where it has told the load balancer, or where there is no other gateway.
      */
     private void updateOverload(boolean overloaded) {
         Rotation rotation = state().rotation();
-        callerListener.setAccepting(!overloaded || rotation.hasAlternatives() && rotation.inRotation());
+        callerListener.setNewConnections(newConnections(overloaded, rotation));
         if (overloaded != this.overloaded) {
             this.overloaded = overloaded;
             log.warn(
@@ -163,6 +164,15 @@
         }
     }
 
+    private static NewConnections newConnections(boolean overloaded, Rotation rotation) {
+        if (!overloaded) {
+            return NewConnections.ACCEPT;
+        }
+        return rotation.hasAlternatives() && rotation.inRotation()
+                ? NewConnections.CLOSE
+                : NewConnections.LEAVE_WAITING;
+    }
+
     /** The lag of this process: the longer of the lags of the control thread and the I/O thread. */
     private Duration lag() {
         return Collections.max(List.of(control.lag(), ioThreadLag.lag()));
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayPeers.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayPeers.java
@@ -2,6 +2,8 @@
 
 import java.util.Collection;
 
+import org.sassafrastrail.durable.SharedTable;
+import org.sassafrastrail.durable.TableChanges;
 import org.sassafrastrail.durable.WatchedTable;
 
 /** The links to the other gateways, over which they exchange copies of the tables in the store. */
@@ -22,6 +24,29 @@
      */
     void shareTable(String table, WatchedTable watchedTable);
 
+    /**
+     * Lets a table follow what the peers publish of it.
+     *
+     * @param table the name of the table
+     * @param sharedTable the table
+     */
+    void followTable(String table, SharedTable sharedTable);
+
+    /**
+     * Returns whether this gateway reads the tables of the store for the others of its failure domain.
+     *
+     * @return whether it does
+     */
+    boolean isWatcher();
+
+    /**
+     * Tells the other gateways of the failure domain what was read of a table.
+     *
+     * @param table the name of the table
+     * @param changes what was read
+     */
+    void publish(String table, TableChanges changes);
+
     /**
      * Requests the copies of a table from all peers.
      *
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -8,18 +8,20 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 
-import org.sassafrastrail.durable.TableRow;
+import org.sassafrastrail.durable.SharedTable;
+import org.sassafrastrail.durable.TableChanges;
 import org.sassafrastrail.durable.WatchedTable;
 import org.sassafrastrail.gate.CrashReport;
 import org.sassafrastrail.gate.DrainReport;
 import org.sassafrastrail.gate.GatewayAction;
 import org.sassafrastrail.gate.GatewayEvent;
 import org.sassafrastrail.gate.GatewayReport;
+import org.sassafrastrail.gate.TableWatchers;
 import org.sassafrastrail.gate.limit.LimitReport;
 import org.sassafrastrail.gate.rotation.RotationReport;
-import org.sassafrastrail.messages.CopiedRow;
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.CrashUpdate;
 import org.sassafrastrail.messages.DrainUpdate;
@@ -31,6 +33,7 @@
 import org.sassafrastrail.messages.PermitRequest;
 import org.sassafrastrail.messages.RotationUpdate;
 import org.sassafrastrail.messages.TableCopy;
+import org.sassafrastrail.messages.TableUpdate;
 import org.sassafrastrail.model.Incarnation;
 import org.sassafrastrail.model.NodeName;
 import org.sassafrastrail.runtime.EventLog;
@@ -61,6 +64,7 @@
 
     private final GatewaySettings settings;
     private final Consumer<GatewayEvent> events;
+    private final Supplier<TableWatchers> watchers;
     private final EventLog log;
     private final LinkSettings linkSettings;
     private final LinkServer server;
@@ -69,15 +73,18 @@
     private final Map<String, List<Link>> links = new ConcurrentHashMap<>();
 
     private final Map<String, WatchedTable> tables = new ConcurrentHashMap<>();
+    private final Map<String, SharedTable> followedTables = new ConcurrentHashMap<>();
 
     PeerLinks(
             GatewaySettings settings,
             Incarnation incarnation,
             Consumer<GatewayEvent> events,
+            Supplier<TableWatchers> watchers,
             Metrics metrics,
             EventLog log) {
         this.settings = settings;
         this.events = events;
+        this.watchers = watchers;
         this.log = log;
         Hello greeting =
                 new Hello(Hello.PROTOCOL_VERSION, NO_KEY, new NodeName(settings.node()), incarnation, Optional.empty());
@@ -166,6 +173,22 @@
         tables.put(table, watchedTable);
     }
 
+    @Override
+    public void followTable(String table, SharedTable sharedTable) {
+        followedTables.put(table, sharedTable);
+    }
+
+    @Override
+    public boolean isWatcher() {
+        return watchers.get().includeThisGateway();
+    }
+
+    @Override
+    public void publish(String table, TableChanges changes) {
+        TableUpdate update = TableMapper.toMessage(table, changes);
+        watchers.get().others().forEach(peer -> sendTo(peer, update));
+    }
+
     @Override
     public void requestTable(String table, long version) {
         sendToAll(new CopyRequest(table, version));
@@ -245,28 +268,18 @@
             Optional.ofNullable(tables.get(request.table()))
                     .map(WatchedTable::snapshot)
                     .filter(snapshot -> snapshot.version() > request.version())
-                    .ifPresent(snapshot -> link.send(toMessage(request.table(), snapshot)));
+                    .ifPresent(snapshot -> link.send(TableMapper.toMessage(request.table(), snapshot)));
         } else if (message instanceof TableCopy copy) {
             applyCopy(link, copy);
+        } else if (message instanceof TableUpdate update) {
+            Optional.ofNullable(followedTables.get(update.table()))
+                    .ifPresent(table -> table.follow(TableMapper.fromMessage(update)));
         }
     }
 
-    private static TableCopy toMessage(String table, WatchedTable.Snapshot snapshot) {
-        return new TableCopy(
-                table,
-                snapshot.version(),
-                snapshot.rows().stream()
-                        .map(row -> new CopiedRow(
-                                row.key(), row.version(), row.value().orElseThrow()))
-                        .toList());
-    }
-
     private void applyCopy(Link link, TableCopy copy) {
-        List<TableRow> rows = copy.rows().stream()
-                .map(row -> new TableRow(row.key(), row.version(), Optional.of(row.value())))
-                .toList();
         boolean applied = Optional.ofNullable(tables.get(copy.table()))
-                .filter(table -> table.replaceIfNewer(new WatchedTable.Snapshot(copy.version(), rows)))
+                .filter(table -> table.replaceIfNewer(TableMapper.fromMessage(copy)))
                 .isPresent();
         if (applied) {
             log.info(
--- a/gateway/src/main/java/org/sassafrastrail/gateway/ResponseClassifier.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/ResponseClassifier.java
@@ -12,6 +12,7 @@
 final class ResponseClassifier {
 
     private static final int MISDIRECTED = 421;
+    private static final int MAX_STATUS = 599;
 
     /** Statuses that tell a client that its request was not executed. */
     private static final Set<Integer> NOT_EXECUTED_STATUSES = Set.of(
@@ -28,7 +29,7 @@
      * @return the kind of response
      */
     static ResponseKind classify(String requestIdentifier, ResponseFacts response, boolean streamStarted) {
-        if (response.status() < StatusCodes.OK || response.belongsToAnother(requestIdentifier)) {
+        if (!isFinal(response.status()) || response.belongsToAnother(requestIdentifier)) {
             return ResponseKind.FOREIGN;
         }
         if (response.notExecuted()) {
@@ -51,6 +52,11 @@
                 : ResponseKind.FOREIGN;
     }
 
+    /** Informational responses are followed by another one, and a status beyond the five classes is no status at all. */
+    private static boolean isFinal(int status) {
+        return status >= StatusCodes.OK && status <= MAX_STATUS;
+    }
+
     private static ResponseKind classifyNotExecuted(String requestIdentifier, ResponseFacts response) {
         if (!response.belongsTo(requestIdentifier)) {
             return ResponseKind.UNPROVEN;
--- a/gateway/src/test/java/org/sassafrastrail/gateway/CallerListenerTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/CallerListenerTest.java
@@ -77,12 +77,12 @@
     /** Guards against FAIR: a process that lagged before its listener started accepted all connections. */
     @Test
     void connectionWaitsWhileAcceptingIsDisabledBeforeStart() throws Exception {
-        listener.setAccepting(false);
+        listener.setNewConnections(NewConnections.LEAVE_WAITING);
         listener.start();
         try (Socket caller = callerWithRequest()) {
             assertThatThrownBy(() -> readResponse(caller, QUIET_MILLISECONDS))
                     .isInstanceOf(SocketTimeoutException.class);
-            listener.setAccepting(true);
+            listener.setNewConnections(NewConnections.ACCEPT);
             assertThat(readResponse(caller, TIMEOUT_MILLISECONDS)).contains("200 OK");
         }
     }
@@ -91,8 +91,8 @@
     void acceptingStaysOffAfterStop() throws Exception {
         listener.start();
         listener.stop();
-        listener.setAccepting(false);
-        listener.setAccepting(true);
+        listener.setNewConnections(NewConnections.LEAVE_WAITING);
+        listener.setNewConnections(NewConnections.ACCEPT);
         assertThatThrownBy(this::callerWithRequest).isInstanceOf(IOException.class);
     }
 }
--- a/gateway/src/test/java/org/sassafrastrail/gateway/PeerLinksTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/PeerLinksTest.java
@@ -6,12 +6,14 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.sassafrastrail.gate.TableWatchers;
 import org.sassafrastrail.messages.Hello;
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.model.Incarnation;
@@ -57,6 +59,7 @@
                     "WARN"),
             new Incarnation(1),
             event -> {},
+            () -> new TableWatchers("own", Set.of()),
             new Metrics(new MetricRegistry()),
             log);
     private final LinkServer peer = new LinkServer(
--- a/messages/src/main/java/org/sassafrastrail/messages/Message.java
+++ b/messages/src/main/java/org/sassafrastrail/messages/Message.java
@@ -22,4 +22,5 @@
                 LimitUpdate,
                 PermitRequest,
                 PermitAnswer,
-                RotationUpdate {}
+                RotationUpdate,
+                TableUpdate {}
--- a/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
@@ -25,6 +25,7 @@
 import org.sassafrastrail.messages.RulesAnnouncement;
 import org.sassafrastrail.messages.RulesRequest;
 import org.sassafrastrail.messages.TableCopy;
+import org.sassafrastrail.messages.TableUpdate;
 
 /** The kinds of messages, each with the number that identifies it in a frame. A number is never reused for another kind. */
 enum MessageKind {
@@ -48,7 +49,8 @@
     LIMIT_UPDATE(18, LimitUpdate.class),
     PERMIT_REQUEST(19, PermitRequest.class),
     PERMIT_ANSWER(20, PermitAnswer.class),
-    ROTATION_UPDATE(21, RotationUpdate.class);
+    ROTATION_UPDATE(21, RotationUpdate.class),
+    TABLE_UPDATE(22, TableUpdate.class);
 
     private final byte number;
     private final Class<? extends Message> type;
--- a/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
@@ -25,6 +25,7 @@
 import org.sassafrastrail.messages.LimitedUpstream;
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.messages.MoveProgress;
+import org.sassafrastrail.messages.RemovedRow;
 import org.sassafrastrail.messages.SuspectPart;
 import org.sassafrastrail.messages.Suspension;
 import org.sassafrastrail.messages.UpstreamCrash;
@@ -73,6 +74,7 @@
             LimitedUpstream.class,
             MoveIdentifier.class,
             MoveProgress.class,
+            RemovedRow.class,
             RuleDocument.class,
             SuspectPart.class,
             Suspension.class,
--- a/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
+++ b/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
@@ -42,12 +42,14 @@
 import org.sassafrastrail.messages.MoveUpdate;
 import org.sassafrastrail.messages.PermitAnswer;
 import org.sassafrastrail.messages.PermitRequest;
+import org.sassafrastrail.messages.RemovedRow;
 import org.sassafrastrail.messages.RotationUpdate;
 import org.sassafrastrail.messages.RulesAnnouncement;
 import org.sassafrastrail.messages.RulesRequest;
 import org.sassafrastrail.messages.SuspectPart;
 import org.sassafrastrail.messages.Suspension;
 import org.sassafrastrail.messages.TableCopy;
+import org.sassafrastrail.messages.TableUpdate;
 import org.sassafrastrail.messages.UpstreamCrash;
 import org.sassafrastrail.messages.UpstreamEndpoint;
 import org.sassafrastrail.messages.UpstreamLoad;
@@ -107,6 +109,7 @@
                 new RotationUpdate(new FailureDomainName("north"), false, 0.25, 430),
                 new CopyRequest("servers", 17),
                 new TableCopy("servers", 18, List.of()),
+                new TableUpdate("servers", 17, 18, List.of(), List.of(new RemovedRow("i-1", 18))),
                 new Demand(List.of(new AccountDemand(new AccountName("kitchen"), 3, 100, 20))),
                 new GrantOffer(GRANT, new AccountName("kitchen"), 1000),
                 new GrantReturn(GRANT, GrantReturnReason.NO_DEMAND),
