Find the next queued requests without looking at all of them

Cause: each dispatch decision walked all queued requests and sorted them; under a long queue that was most of the time of a decision (sampled in the scenario of AccountAtFewGatewaysTest, 22 gateways before 28 engines). Change: OpenCalls keeps the queue of each target by account; SchedulingOrder takes accounts in the order of what they were served. Result: SchedulingOrderTest holds the order to a plain sort of all requests.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CallHandler.java
@@ -63,9 +63,7 @@
         if (limit.isEmpty()) {
             return Transition.to(state);
         }
-        List<Call> queued = SchedulingOrder.of(state, target, now)
-                .map(SchedulingOrder.QueuedCall::call)
-                .toList();
+        List<Call> queued = SchedulingOrder.of(state, target, now).toList();
         return queued.stream()
                 .reduce((earlier, later) -> later)
                 .filter(last -> queued.size() - 1 > limit.getAsDouble() * maxQueueingSeconds(last) + 1)
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 
 import org.pcollections.HashTreePMap;
@@ -200,6 +201,15 @@
         return queued().stream().map(calls()::get);
     }
 
+    TargetQueue queue(TargetName target) {
+        return openCalls.queue(target);
+    }
+
+    /** Returns the targets of the queued requests. */
+    Set<TargetName> targetsWithQueue() {
+        return openCalls.queues().keySet();
+    }
+
     /** Returns the state of the upstream incarnation that an attempt was sent to, empty if it is no longer known. */
     Optional<UpstreamState> upstreamOf(Attempt attempt) {
         return Optional.ofNullable(upstreams().get(attempt.upstream().identifier()))
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -33,9 +33,7 @@
     /** Dispatches as many queued requests of all targets as possible. */
     Transition<GatewayState, GatewayAction> dispatchAll(GatewayState state, Instant now) {
         return Transition.<GatewayState, GatewayAction>to(state)
-                .forEach(
-                        state.queuedCalls().map(Call::target).distinct(),
-                        (next, target) -> dispatchQueued(next, target, now));
+                .forEach(state.targetsWithQueue().stream(), (next, target) -> dispatchQueued(next, target, now));
     }
 
     /**
@@ -50,12 +48,12 @@
 
     private Optional<Transition<GatewayState, GatewayAction>> dispatchNext(
             GatewayState state, TargetName target, Instant now) {
-        if (state.queuedCalls().noneMatch(call -> call.target().equals(target))) {
+        if (state.queue(target).isEmpty()) {
             return Optional.empty();
         }
         Candidates candidates = candidates(state, target, now);
-        Optional<Transition<GatewayState, GatewayAction>> retried = state.queuedCalls()
-                .filter(call -> call.attempts() > 0 && call.target().equals(target))
+        Optional<Transition<GatewayState, GatewayAction>> retried = state.queue(target).retries().stream()
+                .map(state.calls()::get)
                 .flatMap(call -> dispatch(state, call, candidates, FULL_SHARE, now).stream())
                 .findFirst();
         return retried.or(() -> dispatchFirstAttempt(state, target, candidates, now));
@@ -65,9 +63,7 @@
             GatewayState state, TargetName target, Candidates candidates, Instant now) {
         return SchedulingOrder.of(state, target, now)
                 .limit(limits.schedulingLookahead())
-                .flatMap(queued ->
-                        dispatch(state, queued.call(), candidates, capacityShare(state, queued.call(), now), now)
-                                .stream())
+                .flatMap(call -> dispatch(state, call, candidates, capacityShare(state, call, now), now).stream())
                 .findFirst();
     }
 
