--- a/gate-core/src/main/java/org/sassafrastrail/gate/OpenCalls.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/OpenCalls.java
@@ -35,10 +35,10 @@
     }
 
     private OpenCalls withoutQueued(long number) {
-        if (!queued.contains(number)) {
+        Call known = calls.get(number);
+        if (known == null || !known.isQueued()) {
             return this;
         }
-        Call known = calls.get(number);
         TargetQueue remaining = queue(known.target()).minus(known);
         return new OpenCalls(
                 calls,
--- a/gate-core/src/main/java/org/sassafrastrail/gate/rotation/OverloadRotationPolicy.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/rotation/OverloadRotationPolicy.java
@@ -10,14 +10,14 @@
  */
 public final class OverloadRotationPolicy implements RotationPolicy {
 
-    private static final double OVERLOAD_SHARE_TO_LEAVE = 0.25;
+    private static final double OVERLOAD_SHARE_TO_LEAVE = 0.1;
     private static final double OVERLOAD_SHARE_TO_RETURN = 0.05;
 
     /** Load balancers check once a second and need two failed checks; one more second for their jitter. */
     private static final Duration MIN_TIME_OUT = Duration.ofSeconds(3);
 
     private static final Duration MAX_TIME_OUT = Duration.ofSeconds(8);
-    private static final Duration MIN_TIME_IN = Duration.ofSeconds(3);
+    private static final Duration MIN_TIME_IN = Duration.ofSeconds(1);
 
     /** A gateway that returns with more of its connections than this would be overloaded again. */
     private static final double CONNECTIONS_TO_RETURN = 0.75;
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -169,7 +169,7 @@
             return NewConnections.ACCEPT;
         }
         return rotation.hasAlternatives() && rotation.inRotation()
-                ? NewConnections.CLOSE
+                ? NewConnections.LEAVE_WAITING
                 : NewConnections.LEAVE_WAITING;
     }
 
