--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/InMemoryTable.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/fleet/InMemoryTable.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.function.LongConsumer;
 
+import org.sassafrastrail.durable.StoreVersion;
 import org.sassafrastrail.durable.TableReadResult;
 import org.sassafrastrail.durable.TableService;
 import org.sassafrastrail.durable.TableWriteResult;
@@ -55,6 +56,6 @@
             responsesToLose--;
             return new TableWriteResult.Unavailable();
         }
-        return new TableWriteResult.Written(currentVersion + 1);
+        return new TableWriteResult.Written(new StoreVersion(0, currentVersion + 1));
     }
 }
--- a/durable/src/main/java/org/sassafrastrail/durable/ChangeFeed.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/ChangeFeed.java
@@ -19,5 +19,5 @@
      * @param maximumWait the longest wait for a change
      * @return the changed rows, none if the wait ended without a change, or why they could not be read
      */
-    ChangeFeedResult changesSince(long version, Duration maximumWait);
+    ChangeFeedResult changesSince(StoreVersion version, Duration maximumWait);
 }
--- a/durable/src/main/java/org/sassafrastrail/durable/ChangeFeedResult.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/ChangeFeedResult.java
@@ -11,9 +11,9 @@
      * @param rows the rows that were read
      * @param version the version of the store as of which the rows were read
      */
-    record Rows(List<TableRow> rows, long version) implements ChangeFeedResult {}
+    record Rows(List<TableRow> rows, StoreVersion version) implements ChangeFeedResult {}
 
-    /** The store no longer retains the changes since the version; the whole table has to be read again. */
+    /** The store no longer retains the changes since the version, or never had it; the whole table has to be read again. */
     record HistoryExpired() implements ChangeFeedResult {}
 
     /**
--- a/durable/src/main/java/org/sassafrastrail/durable/MoveProgressStore.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/MoveProgressStore.java
@@ -54,7 +54,7 @@
     public Optional<VersionedProgress> compareAndSet(MoveProgress step, long expectedRowVersion) {
         TableWriteResult write = table.write(rowKey(step.move()), format(step), expectedRowVersion);
         return write instanceof TableWriteResult.Written written
-                ? Optional.of(new VersionedProgress(step, written.version()))
+                ? Optional.of(new VersionedProgress(step, written.version().number()))
                 : read(step.move());
     }
 
--- a/durable/src/main/java/org/sassafrastrail/durable/StoreAvailabilityListener.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/StoreAvailabilityListener.java
@@ -9,12 +9,20 @@
      * @param version the version of the local copy
      * @param reason why the read failed
      */
-    void storeUnavailable(long version, String reason);
+    void storeUnavailable(StoreVersion version, String reason);
 
     /**
      * A read has succeeded, and the one before it had failed.
      *
      * @param version the version of the store
      */
-    void storeAvailable(long version);
+    void storeAvailable(StoreVersion version);
+
+    /**
+     * The copy of the table is the first of a new era: the store came back from an older copy.
+     *
+     * @param before the last version of the era before
+     * @param version the version of the store in the new era
+     */
+    void storeRestored(StoreVersion before, StoreVersion version);
 }
--- a/durable/src/main/java/org/sassafrastrail/durable/TableChanges.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/TableChanges.java
@@ -9,4 +9,4 @@
  * @param version the version up to which the table was read
  * @param rows the changed rows, without a value where a row was deleted
  */
-public record TableChanges(long fromVersion, long version, List<TableRow> rows) {}
+public record TableChanges(StoreVersion fromVersion, StoreVersion version, List<TableRow> rows) {}
--- a/durable/src/main/java/org/sassafrastrail/durable/TableRow.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/TableRow.java
@@ -9,4 +9,4 @@
  * @param version its version
  * @param value its content, empty if the row was deleted
  */
-public record TableRow(String key, long version, Optional<byte[]> value) {}
+public record TableRow(String key, StoreVersion version, Optional<byte[]> value) {}
--- a/durable/src/main/java/org/sassafrastrail/durable/TableWriteResult.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/TableWriteResult.java
@@ -8,7 +8,7 @@
      *
      * @param version its new version
      */
-    record Written(long version) implements TableWriteResult {}
+    record Written(StoreVersion version) implements TableWriteResult {}
 
     /** The row has another version than expected; nothing was written. */
     record Conflict() implements TableWriteResult {}
--- a/durable/src/main/java/org/sassafrastrail/durable/WatchedTable.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/WatchedTable.java
@@ -5,26 +5,25 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import java.util.function.LongConsumer;
 import java.util.stream.Collectors;
 
 /**
  * A local copy of a table that is kept up to date by polling its change feed. While the store is unavailable, peers are
- * asked for their copies. The copy is never replaced by an older version. One thread polls; snapshots from peers may be
- * applied on other threads.
+ * asked for their copies. The copy is never replaced by an older version, nor by one of an earlier era. In a new era the
+ * whole table is read again. One thread polls; snapshots from peers may be applied on other threads.
  */
 public final class WatchedTable {
 
     /** The version of a copy that has not been loaded yet. */
-    public static final long NOT_LOADED = -1;
+    public static final StoreVersion NOT_LOADED = new StoreVersion(0, -1);
 
     private final ChangeFeed feed;
     private final Duration maximumWait;
     private final Consumer<Map<String, TableRow>> onChange;
-    private final LongConsumer requestFromPeers;
+    private final Consumer<StoreVersion> requestFromPeers;
     private final StoreAvailabilityListener listener;
     private final Map<String, TableRow> rows = new TreeMap<>();
-    private long version = NOT_LOADED;
+    private StoreVersion version = NOT_LOADED;
     private boolean available = true;
 
     /**
@@ -40,7 +39,7 @@
             ChangeFeed feed,
             Duration maximumWait,
             Consumer<Map<String, TableRow>> onChange,
-            LongConsumer requestFromPeers,
+            Consumer<StoreVersion> requestFromPeers,
             StoreAvailabilityListener listener) {
         this.feed = feed;
         this.maximumWait = maximumWait;
@@ -55,7 +54,7 @@
      * @param version the version of the store that it reflects
      * @param rows all rows
      */
-    public record Snapshot(long version, List<TableRow> rows) {}
+    public record Snapshot(StoreVersion version, List<TableRow> rows) {}
 
     /**
      * Returns the current content of the copy.
@@ -82,13 +81,13 @@
      * @return whether the store responded with rows
      */
     public boolean poll(Consumer<TableChanges> onRead) {
-        long known = snapshot().version();
-        ChangeFeedResult result = known == NOT_LOADED ? feed.readAll() : feed.changesSince(known, maximumWait);
+        StoreVersion known = snapshot().version();
+        if (known.equals(NOT_LOADED)) {
+            return reload(onRead);
+        }
+        ChangeFeedResult result = feed.changesSince(known, maximumWait);
         if (result instanceof ChangeFeedResult.Rows update) {
-            readSucceeded(update);
-            apply(update, known == NOT_LOADED);
-            onRead.accept(new TableChanges(known, update.version(), update.rows()));
-            return true;
+            return update.version().era() == known.era() ? readSucceeded(known, update, onRead) : reload(onRead);
         }
         if (result instanceof ChangeFeedResult.HistoryExpired) {
             return reload(onRead);
@@ -100,15 +99,28 @@
     private boolean reload(Consumer<TableChanges> onRead) {
         ChangeFeedResult result = feed.readAll();
         if (result instanceof ChangeFeedResult.Rows update) {
-            readSucceeded(update);
-            apply(update, true);
-            onRead.accept(new TableChanges(NOT_LOADED, update.version(), update.rows()));
-            return true;
+            return readSucceeded(NOT_LOADED, update, onRead);
         }
-        readFailed("history expired");
+        readFailed(
+                result instanceof ChangeFeedResult.Unavailable unavailable ? unavailable.reason() : "history expired");
         return false;
     }
 
+    /** Applies what the store returned, unless a peer told of a later era in the meantime. */
+    private boolean readSucceeded(StoreVersion from, ChangeFeedResult.Rows update, Consumer<TableChanges> onRead) {
+        if (!available) {
+            available = true;
+            listener.storeAvailable(update.version());
+        }
+        TableChanges changes = new TableChanges(from, update.version(), update.rows());
+        apply(changes);
+        boolean current = update.version().era() == snapshot().version().era();
+        if (current) {
+            onRead.accept(changes);
+        }
+        return current;
+    }
+
     /**
      * Applies what another process read.
      *
@@ -117,24 +129,23 @@
      *     the copy lacks changes before those
      */
     public synchronized boolean apply(TableChanges changes) {
-        boolean wholeTable = changes.fromVersion() == NOT_LOADED;
-        boolean connects = wholeTable || version != NOT_LOADED && changes.fromVersion() <= version;
-        if (!connects || changes.version() < version) {
+        boolean wholeTable = changes.fromVersion().equals(NOT_LOADED);
+        if (changes.version().isBefore(version) || !wholeTable && !connects(changes)) {
             return false;
         }
         apply(new ChangeFeedResult.Rows(changes.rows(), changes.version()), wholeTable);
         return true;
     }
 
-    private void readSucceeded(ChangeFeedResult.Rows update) {
-        if (!available) {
-            available = true;
-            listener.storeAvailable(update.version());
-        }
+    /** Returns whether changes continue this copy. Changes of an era do not continue a copy of another one. */
+    private boolean connects(TableChanges changes) {
+        return !version.equals(NOT_LOADED)
+                && version.era() == changes.version().era()
+                && !version.isBefore(changes.fromVersion());
     }
 
     private void readFailed(String reason) {
-        long known = snapshot().version();
+        StoreVersion known = snapshot().version();
         if (available) {
             available = false;
             listener.storeUnavailable(known, reason);
@@ -153,18 +164,22 @@
     }
 
     private synchronized boolean apply(ChangeFeedResult.Rows update, boolean fullRead) {
-        if (update.version() < version || fullRead && update.version() == version) {
+        if (update.version().isBefore(version) || fullRead && update.version().equals(version)) {
             return false;
         }
-        Map<String, TableRow> before = fullRead ? Map.copyOf(rows) : Map.of();
+        Map<String, TableRow> rowsBefore = fullRead ? Map.copyOf(rows) : Map.of();
         if (fullRead) {
             rows.clear();
         }
         update.rows().forEach(this::apply);
         boolean rowsChanged = fullRead
-                ? version == NOT_LOADED || !versions(before).equals(versions(rows))
+                ? version.equals(NOT_LOADED) || !versions(rowsBefore).equals(versions(rows))
                 : !update.rows().isEmpty();
+        StoreVersion before = version;
         version = update.version();
+        if (!before.equals(NOT_LOADED) && before.era() < version.era()) {
+            listener.storeRestored(before, version);
+        }
         if (rowsChanged) {
             onChange.accept(Map.copyOf(rows));
         }
@@ -174,7 +189,7 @@
     /** Applies a row unless a newer version of it is known, as after a table that was read in several steps. */
     private void apply(TableRow row) {
         TableRow known = rows.get(row.key());
-        if (known != null && known.version() > row.version()) {
+        if (known != null && row.version().isBefore(known.version())) {
             return;
         }
         if (row.value().isPresent()) {
@@ -184,7 +199,7 @@
         }
     }
 
-    private static Map<String, Long> versions(Map<String, TableRow> rows) {
+    private static Map<String, StoreVersion> versions(Map<String, TableRow> rows) {
         return rows.values().stream().collect(Collectors.toMap(TableRow::key, TableRow::version));
     }
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayPeers.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayPeers.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 
 import org.sassafrastrail.durable.SharedTable;
+import org.sassafrastrail.durable.StoreVersion;
 import org.sassafrastrail.durable.TableChanges;
 import org.sassafrastrail.durable.WatchedTable;
 
@@ -53,7 +54,7 @@
      * @param table the name of the table
      * @param version the version of the local copy; peers send only newer copies
      */
-    void requestTable(String table, long version);
+    void requestTable(String table, StoreVersion version);
 
     /**
      * Connects to the other gateways.
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -12,6 +12,7 @@
 import java.util.stream.Stream;
 
 import org.sassafrastrail.durable.SharedTable;
+import org.sassafrastrail.durable.StoreVersion;
 import org.sassafrastrail.durable.TableChanges;
 import org.sassafrastrail.durable.WatchedTable;
 import org.sassafrastrail.gate.CrashReport;
@@ -190,8 +191,8 @@
     }
 
     @Override
-    public void requestTable(String table, long version) {
-        sendToAll(new CopyRequest(table, version));
+    public void requestTable(String table, StoreVersion version) {
+        sendToAll(TableMapper.toMessage(table, version));
     }
 
     @Override
@@ -267,7 +268,7 @@
         } else if (message instanceof CopyRequest request) {
             Optional.ofNullable(tables.get(request.table()))
                     .map(WatchedTable::snapshot)
-                    .filter(snapshot -> snapshot.version() > request.version())
+                    .filter(snapshot -> TableMapper.fromMessage(request).isBefore(snapshot.version()))
                     .ifPresent(snapshot -> link.send(TableMapper.toMessage(request.table(), snapshot)));
         } else if (message instanceof TableCopy copy) {
             applyCopy(link, copy);
@@ -286,6 +287,7 @@
                     "copy-taken",
                     LogField.of("table", copy.table()),
                     LogField.of("version", copy.version()),
+                    LogField.of("era", copy.era()),
                     LogField.of("peer", link.peer().node()));
         }
     }
--- a/gateway/src/test/java/org/sassafrastrail/gateway/SharedTableFleet.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/SharedTableFleet.java
@@ -16,6 +16,7 @@
 import org.sassafrastrail.durable.ChangeFeedResult;
 import org.sassafrastrail.durable.SharedTable;
 import org.sassafrastrail.durable.StoreAvailabilityListener;
+import org.sassafrastrail.durable.StoreVersion;
 import org.sassafrastrail.durable.TableChanges;
 import org.sassafrastrail.durable.TableRow;
 import org.sassafrastrail.durable.WatchedTable;
@@ -35,7 +36,7 @@
     private final Set<Integer> cutToPeers = new HashSet<>();
     private final Set<Integer> losing = new HashSet<>();
     private final ManualClock clock = new ManualClock();
-    private long version = 1;
+    private StoreVersion version = new StoreVersion(0, 1);
     private long calls;
 
     SharedTableFleet(int count) {
@@ -72,7 +73,7 @@
         }
 
         void tick() {
-            boolean changed = called && copy.snapshot().version() < version && !cutFromStore.contains(number);
+            boolean changed = called && copy.snapshot().version().isBefore(version) && !cutFromStore.contains(number);
             if (changed || !clock.instant().isBefore(pollsAgainAt)) {
                 called = false;
                 table.poll();
@@ -82,16 +83,16 @@
 
         @Override
         public ChangeFeedResult readAll() {
-            return changesSince(0, Duration.ZERO);
+            return changesSince(WatchedTable.NOT_LOADED, Duration.ZERO);
         }
 
         @Override
-        public ChangeFeedResult changesSince(long known, Duration maximumWait) {
+        public ChangeFeedResult changesSince(StoreVersion known, Duration maximumWait) {
             calls++;
             called = true;
             return cutFromStore.contains(number)
                     ? new ChangeFeedResult.Unavailable("cut off")
-                    : new ChangeFeedResult.Rows(known < version ? rows() : List.of(), version);
+                    : new ChangeFeedResult.Rows(known.isBefore(version) ? rows() : List.of(), version);
         }
     }
 
@@ -99,14 +100,17 @@
     private static final class Silent implements StoreAvailabilityListener {
 
         @Override
-        public void storeUnavailable(long known, String reason) {}
+        public void storeUnavailable(StoreVersion known, String reason) {}
 
         @Override
-        public void storeAvailable(long known) {}
+        public void storeAvailable(StoreVersion known) {}
+
+        @Override
+        public void storeRestored(StoreVersion before, StoreVersion known) {}
     }
 
     private List<TableRow> rows() {
-        byte[] value = Long.toString(version).getBytes(StandardCharsets.US_ASCII);
+        byte[] value = version.toString().getBytes(StandardCharsets.US_ASCII);
         return List.of(new TableRow("row", version, Optional.of(value)));
     }
 
@@ -133,7 +137,7 @@
 
     /** Changes the table and returns the time until all of some gateways know it. */
     Duration timeUntilKnown(IntPredicate ofGateways) {
-        version++;
+        version = new StoreVersion(version.era(), version.number() + 1);
         Instant changedAt = clock.instant();
         while (!isKnown(ofGateways) && clock.instant().isBefore(changedAt.plusSeconds(30))) {
             run(TICK);
@@ -144,7 +148,7 @@
     private boolean isKnown(IntPredicate ofGateways) {
         return gateways.stream()
                 .filter(gateway -> ofGateways.test(gateway.number))
-                .allMatch(gateway -> gateway.copy.snapshot().version() == version);
+                .allMatch(gateway -> gateway.copy.snapshot().version().equals(version));
     }
 
     List<Integer> watchers() {
@@ -165,7 +169,7 @@
     /** Lets a gateway go on with the response that arrived before its pause. */
     void resumeWithOldResponse(int gateway) {
         paused.remove(gateway);
-        long known = gateways.get(gateway).copy.snapshot().version();
+        StoreVersion known = gateways.get(gateway).copy.snapshot().version();
         publish(gateway, new TableChanges(known, known, List.of()));
     }
 
--- a/messages/src/main/java/org/sassafrastrail/messages/CopyRequest.java
+++ b/messages/src/main/java/org/sassafrastrail/messages/CopyRequest.java
@@ -5,5 +5,6 @@
  *
  * @param table the name of the table
  * @param version the store version of the sender's own copy
+ * @param era the era of the store in which it issued that version
  */
-public record CopyRequest(String table, long version) implements Message {}
+public record CopyRequest(String table, long version, long era) implements Message {}
--- a/messages/src/main/java/org/sassafrastrail/messages/TableCopy.java
+++ b/messages/src/main/java/org/sassafrastrail/messages/TableCopy.java
@@ -8,5 +8,6 @@
  * @param table the name of the table
  * @param version the store version of the copy
  * @param rows all rows of the table
+ * @param era the era of the store in which it issued the versions
  */
-public record TableCopy(String table, long version, List<CopiedRow> rows) implements Message {}
+public record TableCopy(String table, long version, List<CopiedRow> rows, long era) implements Message {}
--- a/messages/src/main/java/org/sassafrastrail/messages/TableUpdate.java
+++ b/messages/src/main/java/org/sassafrastrail/messages/TableUpdate.java
@@ -10,6 +10,8 @@
  * @param version the store version up to which the table was read
  * @param rows the rows that were written
  * @param removed the rows that were deleted
+ * @param era the era of the store in which it issued the versions
  */
-public record TableUpdate(String table, long fromVersion, long version, List<CopiedRow> rows, List<RemovedRow> removed)
+public record TableUpdate(
+        String table, long fromVersion, long version, List<CopiedRow> rows, List<RemovedRow> removed, long era)
         implements Message {}
--- a/standins/src/main/java/org/sassafrastrail/standins/InMemoryRowStore.java
+++ b/standins/src/main/java/org/sassafrastrail/standins/InMemoryRowStore.java
@@ -11,7 +11,9 @@
 
     private final Map<RowKey, StoredRow> rows = new TreeMap<>();
     private final List<StoredRow> history = new ArrayList<>();
+    private Snapshot lastCopy = new Snapshot(Map.of(), List.of(), 0);
     private long version;
+    private long era;
     private long historyStartVersion;
 
     /** The primary key of a row. Rows are ordered by table, part and key. */
@@ -28,11 +30,14 @@
     /** A version of a row, or a tombstone if the row was removed. */
     record StoredRow(RowKey rowKey, String value, long version, boolean removed) {}
 
+    /** The content at one moment, from which the store can be restored. */
+    private record Snapshot(Map<RowKey, StoredRow> rows, List<StoredRow> history, long version) {}
+
     /** Requires a row to have the given version; version 0 requires that the row does not exist. */
     record VersionCondition(RowKey rowKey, long version) {}
 
-    /** A consistent set of rows and the store version at which they were read. */
-    record ReadResult(List<StoredRow> rows, long version) {}
+    /** A consistent set of rows, and the store version and era at which they were read. */
+    record ReadResult(List<StoredRow> rows, long version, long era) {}
 
     synchronized boolean applyTransaction(
             List<VersionCondition> conditions, Map<RowKey, String> writes, List<RowKey> removals) {
@@ -77,18 +82,18 @@
                 .filter(row -> to.isEmpty() || row.rowKey().key().compareTo(to) < 0)
                 .limit(limit)
                 .toList();
-        return new ReadResult(matching, version);
+        return new ReadResult(matching, version, era);
     }
 
     /**
      * Waits for changes of the table that are newer than the given version. Returns an empty result on a timeout, and
-     * null if the history no longer reaches back to that version.
+     * null if the history no longer reaches back to that version or the store doesn't have it.
      */
     synchronized ReadResult awaitChanges(String table, long afterVersion, long waitMilliseconds)
             throws InterruptedException {
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMilliseconds);
         while (true) {
-            if (afterVersion < historyStartVersion) {
+            if (afterVersion < historyStartVersion || afterVersion > version) {
                 return null;
             }
             List<StoredRow> matching = history.stream()
@@ -97,12 +102,32 @@
                     .toList();
             long remaining = TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime());
             if (!matching.isEmpty() || remaining <= 0) {
-                return new ReadResult(matching, version);
+                return new ReadResult(matching, version, era);
             }
             wait(remaining);
         }
     }
 
+    /** Copies the content, from which the store can be restored. */
+    synchronized void copy() {
+        lastCopy = new Snapshot(Map.copyOf(rows), List.copyOf(history), version);
+    }
+
+    /** Replaces the content by the last copy and begins a new era. The versions since the copy are issued again. */
+    synchronized void restore() {
+        rows.clear();
+        rows.putAll(lastCopy.rows());
+        history.clear();
+        history.addAll(lastCopy.history());
+        version = lastCopy.version();
+        era++;
+        notifyAll();
+    }
+
+    synchronized long era() {
+        return era;
+    }
+
     synchronized void discardHistory() {
         history.clear();
         historyStartVersion = version;
--- a/standins/src/main/java/org/sassafrastrail/standins/PlatformStandIn.java
+++ b/standins/src/main/java/org/sassafrastrail/standins/PlatformStandIn.java
@@ -20,6 +20,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
 import io.undertow.util.StatusCodes;
 import org.sassafrastrail.http.JsonResponses;
 import org.xnio.IoUtils;
@@ -30,6 +31,7 @@
  */
 final class PlatformStandIn implements HttpHandler {
 
+    private static final HttpString ERA = new HttpString("Store-Era");
     private static final String VMS = "vms";
     private static final String WEIGHTS = "/weights/";
     private static final String PUT_OBJECT = "/blob-put/";
@@ -66,6 +68,7 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) throws IOException, InterruptedException {
+        setEra(exchange, rowStore.era());
         String path = URLDecoder.decode(exchange.getRequestURI(), StandardCharsets.UTF_8);
         switch (path) {
             case "/rows-get" -> readRange(exchange);
@@ -77,10 +80,22 @@
                 rowStore.discardHistory();
                 JsonResponses.send(exchange, "{}\n");
             }
+            case "/copy-rows" -> {
+                rowStore.copy();
+                JsonResponses.send(exchange, "{}\n");
+            }
+            case "/restore-rows" -> {
+                rowStore.restore();
+                JsonResponses.send(exchange, "{}\n");
+            }
             default -> handleObject(exchange, path);
         }
     }
 
+    private static void setEra(HttpServerExchange exchange, long era) {
+        exchange.getResponseHeaders().put(ERA, era);
+    }
+
     private void readRange(HttpServerExchange exchange) {
         reads.incrementAndGet();
         String limit = queryParameter(exchange, "limit");
@@ -91,6 +106,7 @@
                 queryParameter(exchange, "from"),
                 queryParameter(exchange, "to"),
                 maxRows);
+        setEra(exchange, result.era());
         ObjectNode response = toJson(result);
         response.put("morePages", result.rows().size() == maxRows);
         JsonResponses.send(exchange, response.toString());
@@ -103,9 +119,11 @@
                 Long.parseLong(queryParameter(exchange, "afterRev")),
                 Long.parseLong(queryParameter(exchange, "waitMs")));
         if (result == null) {
+            setEra(exchange, rowStore.era());
             exchange.setStatusCode(StatusCodes.GONE);
             exchange.endExchange();
         } else {
+            setEra(exchange, result.era());
             JsonResponses.send(exchange, toJson(result).toString());
         }
     }
@@ -131,10 +149,13 @@
         }
         exchange.setStatusCode(applied ? StatusCodes.OK : StatusCodes.PRECONDITION_FAILED);
         InMemoryRowStore.ReadResult current = rowStore.readRange("", "", "", "", 0);
+        setEra(exchange, current.era());
         JsonResponses.send(
                 exchange,
                 toJson(new InMemoryRowStore.ReadResult(
-                                applied ? List.of() : rowStore.currentRows(conditions), current.version()))
+                                applied ? List.of() : rowStore.currentRows(conditions),
+                                current.version(),
+                                current.era()))
                         .toString());
     }
 
