--- a/gateway/src/main/java/org/sassafrastrail/gateway/ClusterStateSource.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/ClusterStateSource.java
@@ -4,6 +4,7 @@
 
 import org.sassafrastrail.gate.GatewayEvent;
 import org.sassafrastrail.gate.VersionMove;
+import org.sassafrastrail.runtime.Metrics;
 
 /** The source of cluster state: the configuration, the upstreams, failure domains out of service, and other gateways. */
 public interface ClusterStateSource {
@@ -13,9 +14,10 @@
      *
      * @param listener receives the events, on any thread
      * @param peers the other gateways, which have copies of the tables in the store
+     * @param metrics receives counts of what happens to the source
      * @return stops watching when run
      */
-    Runnable watch(Consumer<GatewayEvent> listener, GatewayPeers peers);
+    Runnable watch(Consumer<GatewayEvent> listener, GatewayPeers peers, Metrics metrics);
 
     /**
      * Records for all gateways and the operators that the new version of a move is rejected. Does not block.
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -195,7 +195,7 @@
         control.start();
         ticker.start();
         peers.start();
-        stopWatching = clusterState.watch(this::post, peers);
+        stopWatching = clusterState.watch(this::post, peers, metrics);
         readinessListener.start();
         callerListener.start();
         log.info("started", LogField.of("node", settings.node()), LogField.of("callers", settings.callers()));
