--- a/durable/src/main/java/org/sassafrastrail/durable/SharedTable.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/SharedTable.java
@@ -11,9 +11,6 @@
  */
 public final class SharedTable {
 
-    /** Longer than the time between two polls of a watcher, and short of the time in which a change has to be in force. */
-    private static final Duration MAX_AGE = Duration.ofMillis(1_700);
-
     /** Keeps the processes that lost their watchers from calling the store all at once. */
     private static final int MAX_JITTER_MILLISECONDS = 150;
 
@@ -33,6 +30,7 @@
      *
      * @param table the local copy
      * @param maximumWait the longest time that one poll of it waits for a change
+     * @param maximumAge how old the copy may get by what watchers tell, longer than the time between two of their polls
      * @param selection tells whether this process polls for others
      * @param publisher tells the others what was read
      * @param node the name of this process, from which its jitter follows
@@ -41,6 +39,7 @@
     public SharedTable(
             WatchedTable table,
             Duration maximumWait,
+            Duration maximumAge,
             WatcherSelection selection,
             TablePublisher publisher,
             String node,
@@ -49,20 +48,35 @@
         this.maximumWait = maximumWait;
         this.selection = selection;
         this.publisher = publisher;
-        this.maximumAge = MAX_AGE.plusMillis(Math.floorMod(node.hashCode(), MAX_JITTER_MILLISECONDS));
+        this.maximumAge = maximumAge.plusMillis(Math.floorMod(node.hashCode(), MAX_JITTER_MILLISECONDS));
         this.clock = clock;
     }
 
-    /** Polls the store if this process is a watcher or has heard nothing recent from one. */
-    public void poll() {
+    /**
+     * Polls the store if this process is a watcher or has heard nothing recent from one.
+     *
+     * @return whether this process read the table from the store
+     */
+    public boolean poll() {
         boolean watcher = selection.isWatcher();
         if (!watcher && isCurrent()) {
-            return;
+            return false;
         }
         Instant started = clock.instant();
-        if (table.poll(watcher ? changes -> publishIfRecent(changes, started) : changes -> {})) {
+        boolean read = table.poll(watcher ? changes -> publishIfRecent(changes, started) : changes -> {});
+        if (read) {
             confirm(started);
         }
+        return read;
+    }
+
+    /**
+     * Returns the current content of the local copy.
+     *
+     * @return a snapshot
+     */
+    public WatchedTable.Snapshot snapshot() {
+        return table.snapshot();
     }
 
     private void publishIfRecent(TableChanges changes, Instant started) {
--- a/gateway/src/test/java/org/sassafrastrail/gateway/SharedTableFleet.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/SharedTableFleet.java
@@ -28,6 +28,7 @@
     private static final int DOMAINS = 3;
     private static final Duration TICK = Duration.ofMillis(50);
     private static final Duration MAXIMUM_WAIT = Duration.ofMillis(1_200);
+    private static final Duration MAXIMUM_AGE = Duration.ofMillis(1_700);
 
     private final List<Gateway> gateways = new ArrayList<>();
     private final Set<Integer> killed = new HashSet<>();
@@ -58,6 +59,7 @@
             this.table = new SharedTable(
                     copy,
                     MAXIMUM_WAIT,
+                    MAXIMUM_AGE,
                     this::isWatcher,
                     changes -> publish(number, changes),
                     "gateway-" + number,
