--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/PlatformProtocolsTest.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/PlatformProtocolsTest.java
@@ -113,6 +113,70 @@
         assertThat(first.acquireOrRenew(later)).isEqualTo(new ControllerLeaseStore.AcquireResult.HeldByOther());
     }
 
+    private static long token(ControllerLeaseStore.AcquireResult result) {
+        return ((ControllerLeaseStore.AcquireResult.Held) result).fencingToken();
+    }
+
+    /** Guards against a token that is issued twice: the store has lost the take-over by the second router. */
+    @Test
+    void tokenIsNotIssuedAgainAfterTheTakeOverWasLost() {
+        ControllerLeaseStore first = leaseStore("router-1");
+        ControllerLeaseStore second = leaseStore("router-2");
+        ControllerLeaseStore third = leaseStore("router-3");
+        first.acquireOrRenew(NOW);
+        table.copy();
+        second.acquireOrRenew(NOW);
+        Instant takenOver = NOW.plusSeconds(6);
+        long lost = token(second.acquireOrRenew(takenOver));
+        table.restore();
+
+        assertThat(third.acquireOrRenew(takenOver)).isEqualTo(new ControllerLeaseStore.AcquireResult.HeldByOther());
+        assertThat(token(third.acquireOrRenew(takenOver.plusSeconds(6)))).isGreaterThan(lost);
+    }
+
+    /** Guards against two holders: the restored row names the one before, while the second still holds the lease. */
+    @Test
+    void holderBeforeTheLostTakeOverWaitsUntilTheLeaseOfTheSecondIsOver() {
+        ControllerLeaseStore first = leaseStore("router-1");
+        ControllerLeaseStore second = leaseStore("router-2");
+        first.acquireOrRenew(NOW);
+        table.copy();
+        second.acquireOrRenew(NOW);
+        Instant takenOver = NOW.plusSeconds(6);
+        long lost = token(second.acquireOrRenew(takenOver));
+        table.restore();
+
+        assertThat(first.acquireOrRenew(takenOver)).isEqualTo(new ControllerLeaseStore.AcquireResult.HeldByOther());
+        assertThat(token(first.acquireOrRenew(takenOver.plusSeconds(6)))).isGreaterThan(lost);
+    }
+
+    /** Guards against two holders where the restored table has no lease at all. */
+    @Test
+    void lostLeaseIsNotAcquiredWhileItsHolderMayHoldIt() {
+        ControllerLeaseStore first = leaseStore("router-1");
+        ControllerLeaseStore second = leaseStore("router-2");
+        table.copy();
+        long lost = token(first.acquireOrRenew(NOW));
+        table.restore();
+
+        assertThat(second.acquireOrRenew(NOW)).isEqualTo(new ControllerLeaseStore.AcquireResult.HeldByOther());
+        assertThat(token(first.acquireOrRenew(NOW.plusSeconds(1)))).isGreaterThan(lost);
+    }
+
+    /** Guards against a rule file that is accepted on the base of a revision that the store has lost. */
+    @Test
+    void proposalOnALostRevisionIsAConflict() {
+        store.propose(RULES, Revision.NONE, "karin", NOW);
+        table.copy();
+        store.propose("", new Revision(1), "lars", NOW);
+        table.restore();
+
+        assertThat(store.propose("domain b in # y\n", new Revision(2), "lars", NOW))
+                .isInstanceOf(RuleFileStore.ProposalResult.Conflict.class);
+        assertThat(store.propose("", new Revision(1), "lars", NOW))
+                .isInstanceOf(RuleFileStore.ProposalResult.Accepted.class);
+    }
+
     private ControllerLeaseStore leaseStore(String node) {
         return new ControllerLeaseStore(table, new NodeName(node), new Incarnation(1), Duration.ofSeconds(5));
     }
--- a/durable/src/main/java/org/sassafrastrail/durable/ControllerLeaseStore.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/ControllerLeaseStore.java
@@ -9,16 +9,24 @@
 /**
  * Acquires and renews the lease that makes one node the controller of version moves. The lease is a row that its holder
  * renews. Another node takes it over only after the row has not changed for longer than the lease duration, measured with
- * that node's own clock, so clocks need not be synchronized. Not thread-safe.
+ * that node's own clock, so clocks need not be synchronized.
+ *
+ * <p>A store that came back from an older copy may have lost a take-over. The era of the store is therefore the upper part of
+ * the fencing token, so that a token of an earlier era is not issued again, and a node that does not hold the lease by its own
+ * clock waits for the lease duration after the restore, also if the row is missing or names that node. Not thread-safe.
  */
 public final class ControllerLeaseStore {
 
     private static final String ROW = "lease/rollout";
 
+    /** The bits of a fencing token below the era of the store, enough for centuries of take-overs. */
+    private static final int NUMBER_BITS = 40;
+
     private final TableService table;
     private final String holder;
     private final Duration leaseDuration;
-    private Observation lastObservation = new Observation(TableService.ABSENT, Instant.MAX);
+    private Observation lastObservation = new Observation(WatchedTable.NOT_LOADED, Instant.MAX);
+    private Instant heldUntil = Instant.MIN;
 
     /**
      * Creates the access of one node to the lease.
@@ -60,8 +68,8 @@
      */
     public AcquireResult acquireOrRenew(Instant now) {
         TableReadResult read = table.read(ROW);
-        if (read instanceof TableReadResult.Absent) {
-            return write(1, TableService.ABSENT, now);
+        if (read instanceof TableReadResult.Absent absent) {
+            return acquireAbsent(new StoreVersion(absent.era(), TableService.ABSENT), now);
         }
         return read instanceof TableReadResult.Found found
                 ? renewOrTakeOver(found, now)
@@ -71,26 +79,48 @@
     private AcquireResult renewOrTakeOver(TableReadResult.Found found, Instant now) {
         String[] fields = found.value().split(" ");
         long fencingToken = Long.parseLong(fields[0]);
-        if (fields[1].equals(holder)) {
-            return write(fencingToken, found.version(), now);
+        long firstToken = firstToken(found.version().era());
+        boolean sameEra = fencingToken >= firstToken;
+        boolean ownsRow = fields[1].equals(holder);
+        if (ownsRow && (sameEra || now.isBefore(heldUntil))) {
+            return write(Math.max(fencingToken, firstToken), found.version(), now);
         }
-        if (found.version() != lastObservation.version) {
-            lastObservation = new Observation(found.version(), now);
+        return isUnchanged(found.version(), now)
+                ? write(Math.max(fencingToken + 1, firstToken), found.version(), now)
+                : new AcquireResult.HeldByOther();
+    }
+
+    /** Acquires a lease without a row. In a later era than the first, another node may hold it whose row was lost. */
+    private AcquireResult acquireAbsent(StoreVersion absent, Instant now) {
+        boolean free = absent.era() == 0 || now.isBefore(heldUntil) || isUnchanged(absent, now);
+        return free ? write(firstToken(absent.era()), absent, now) : new AcquireResult.HeldByOther();
+    }
+
+    /** Returns whether the row has had a version for longer than the lease duration. */
+    private boolean isUnchanged(StoreVersion version, Instant now) {
+        if (!version.equals(lastObservation.version)) {
+            lastObservation = new Observation(version, now);
         }
-        boolean expired = Duration.between(lastObservation.firstSeen, now).compareTo(leaseDuration) > 0;
-        return expired ? write(fencingToken + 1, found.version(), now) : new AcquireResult.HeldByOther();
+        return Duration.between(lastObservation.firstSeen, now).compareTo(leaseDuration) > 0;
+    }
+
+    private static long firstToken(long era) {
+        return (era << NUMBER_BITS) + 1;
     }
 
-    private AcquireResult write(long fencingToken, long version, Instant now) {
-        TableWriteResult written = table.write(ROW, fencingToken + " " + holder, version);
-        if (written instanceof TableWriteResult.Written) {
-            return new AcquireResult.Held(fencingToken, now.plus(leaseDuration));
+    /** Writes the row. A store that was restored since it was read may have issued the expected version to another write. */
+    private AcquireResult write(long fencingToken, StoreVersion version, Instant now) {
+        TableWriteResult result = table.write(ROW, fencingToken + " " + holder, version.number());
+        if (result instanceof TableWriteResult.Written written
+                && written.version().era() == version.era()) {
+            heldUntil = now.plus(leaseDuration);
+            return new AcquireResult.Held(fencingToken, heldUntil);
         }
-        return written instanceof TableWriteResult.Conflict
+        return result instanceof TableWriteResult.Conflict
                 ? new AcquireResult.HeldByOther()
                 : new AcquireResult.Unconfirmed();
     }
 
     /** When a version of the row was first observed. */
-    private record Observation(long version, Instant firstSeen) {}
+    private record Observation(StoreVersion version, Instant firstSeen) {}
 }
--- a/durable/src/main/java/org/sassafrastrail/durable/IdempotencyKeyStore.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/IdempotencyKeyStore.java
@@ -61,7 +61,7 @@
     public void release(AccountName account, String key, RequestIdentifier request) {
         TableReadResult read = table.read(rowKey(account, key));
         if (read instanceof TableReadResult.Found found && found.value().equals(request.value())) {
-            table.delete(rowKey(account, key), found.version());
+            table.delete(rowKey(account, key), found.version().number());
         }
     }
 
--- a/durable/src/main/java/org/sassafrastrail/durable/MoveProgressStore.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/MoveProgressStore.java
@@ -37,7 +37,8 @@
     public Optional<VersionedProgress> read(MoveIdentifier move) {
         TableReadResult read = table.read(rowKey(move));
         if (read instanceof TableReadResult.Found found) {
-            return Optional.of(new VersionedProgress(parse(move, found.value()), found.version()));
+            return Optional.of(new VersionedProgress(
+                    parse(move, found.value()), found.version().number()));
         }
         return read instanceof TableReadResult.Absent
                 ? Optional.of(new VersionedProgress(MoveProgress.start(move), TableService.ABSENT))
--- a/durable/src/main/java/org/sassafrastrail/durable/RuleFileStore.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/RuleFileStore.java
@@ -106,7 +106,7 @@
         TableReadResult read = table.read(CURRENT_ROW);
         if (read instanceof TableReadResult.Found found) {
             return RevisionRow.parse(found.value()).revision().equals(base)
-                    ? table.write(CURRENT_ROW, row.format(), found.version())
+                    ? table.write(CURRENT_ROW, row.format(), found.version().number())
                     : new TableWriteResult.Conflict();
         }
         if (read instanceof TableReadResult.Absent) {
