--- a/gateway/src/test/java/org/sassafrastrail/gateway/SharedTableFleet.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/SharedTableFleet.java
@@ -145,6 +145,12 @@
         return Duration.between(changedAt, clock.instant());
     }
 
+    /** Restores the store from a copy with lower versions, and returns the time until all of some gateways know it. */
+    Duration timeUntilRestoreIsKnown(IntPredicate ofGateways) {
+        version = new StoreVersion(version.era() + 1, 0);
+        return timeUntilKnown(ofGateways);
+    }
+
     private boolean isKnown(IntPredicate ofGateways) {
         return gateways.stream()
                 .filter(gateway -> ofGateways.test(gateway.number))
--- a/gateway/src/test/java/org/sassafrastrail/gateway/SharedTableFleetTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/SharedTableFleetTest.java
@@ -38,6 +38,28 @@
         assertThat(fleet.timeUntilKnown(gateway -> true)).isLessThan(Duration.ofMillis(300));
     }
 
+    /** Guards against gateways that stay with what the store has lost, because its versions are above all that it issues. */
+    @ParameterizedTest
+    @ValueSource(ints = {3, 33, 360})
+    void restoredStoreIsKnownEverywhereInTime(int gateways) {
+        SharedTableFleet fleet = new SharedTableFleet(gateways);
+        fleet.run(Duration.ofSeconds(5));
+        IntStream.range(0, 5).forEach(change -> fleet.timeUntilKnown(gateway -> true));
+        assertThat(fleet.timeUntilRestoreIsKnown(gateway -> true)).isLessThan(BOUND);
+    }
+
+    /** Guards against followers that wait for watchers which never see the new era. */
+    @Test
+    void restoredStoreIsKnownInTimeWhileTheWatchersAreCutOffFromIt() {
+        SharedTableFleet fleet = new SharedTableFleet(33);
+        fleet.run(Duration.ofSeconds(5));
+        IntStream.range(0, 5).forEach(change -> fleet.timeUntilKnown(gateway -> true));
+        List<Integer> cut = watchers(fleet);
+        cut.forEach(fleet::cutFromStore);
+        assertThat(fleet.timeUntilRestoreIsKnown(gateway -> !cut.contains(gateway)))
+                .isLessThan(BOUND);
+    }
+
     /** Guards against an old configuration in force where the gateways that call the store have ended. */
     @Test
     void changeIsKnownInTimeAfterTheWatchersWereKilled() {
