--- a/acceptance/src/test/java/org/sassafrastrail/acceptance/ArchitectureTest.java
+++ b/acceptance/src/test/java/org/sassafrastrail/acceptance/ArchitectureTest.java
@@ -30,7 +30,8 @@
         ROOT + "rollout..",
         ROOT + "router.core..",
         ROOT + "sidecar.core..",
-        ROOT + "gate.."
+        ROOT + "gate..",
+        ROOT + "duty.."
     };
 
     @ArchTest
@@ -80,7 +81,8 @@
                     ROOT + "rollout..",
                     ROOT + "router.core..",
                     ROOT + "sidecar.core..",
-                    ROOT + "gate..")
+                    ROOT + "gate..",
+                    ROOT + "duty..")
             .should()
             .beFinal();
 
--- /dev/null
+++ b/duty-core/src/main/java/org/sassafrastrail/duty/LeaseTimes.java
@@ -0,0 +1,39 @@
+package org.sassafrastrail.duty;
+
+import java.time.Duration;
+
+/**
+ * The times of a lease.
+ *
+ * @param lease the time for which a lease is valid after its last renewal was sent
+ * @param slack how much earlier the holder stops, and how much later another gateway begins. It covers a pause of the process
+ *     between the check of the lease and the call.
+ */
+public record LeaseTimes(Duration lease, Duration slack) {
+
+    private static final int RENEWALS_PER_LEASE = 3;
+    private static final int RETRIES_PER_LEASE = 6;
+
+    /** A holder that gave up is the last to try again: the others have had time to try by then. */
+    private static final int ABSTENTION_LEASES = 4;
+
+    Duration renewal() {
+        return lease.dividedBy(RENEWALS_PER_LEASE);
+    }
+
+    Duration retry() {
+        return lease.dividedBy(RETRIES_PER_LEASE);
+    }
+
+    Duration validity() {
+        return lease.minus(slack);
+    }
+
+    Duration untilTakeover() {
+        return lease.plus(slack);
+    }
+
+    Duration abstention() {
+        return lease.multipliedBy(ABSTENTION_LEASES);
+    }
+}
