Begin usage reports with the first counted window, and let a failing holder give up earlier

A first holder began with the window in which it took the lease, so requests of the start were in no report (UsageReportTest saw 5 of 6). Reports now begin with the first window that has counts. A holder that gave up the lease stayed away for four lease times, which left three gateways without a holder while the API was down; it is two now.

--- a/duty-core/src/main/java/org/sassafrastrail/duty/LeaseTimes.java
+++ b/duty-core/src/main/java/org/sassafrastrail/duty/LeaseTimes.java
@@ -14,8 +14,8 @@
     private static final int RENEWALS_PER_LEASE = 3;
     private static final int RETRIES_PER_LEASE = 6;
 
-    /** A holder that gave up is the last to try again: the others have had time to try by then. */
-    private static final int ABSTENTION_LEASES = 4;
+    /** A holder gives up after it has failed for one lease time. With three gateways, two have tried when it tries again. */
+    private static final int ABSTENTION_LEASES = 2;
 
     Duration renewal() {
         return lease.dividedBy(RENEWALS_PER_LEASE);
--- a/duty-core/src/main/java/org/sassafrastrail/duty/ReportQueue.java
+++ b/duty-core/src/main/java/org/sassafrastrail/duty/ReportQueue.java
@@ -33,15 +33,15 @@
      *
      * @param sentThrough the last window that is known to be sent, 0 if none is
      * @param stored the reports in the store
-     * @param current the current window, with which reports begin if none was ever sent or agreed on
+     * @param first the window with which reports begin if none was ever sent or agreed on
      * @return the queue
      */
-    public static ReportQueue takenOver(long sentThrough, List<AgreedReport> stored, long current) {
+    public static ReportQueue takenOver(long sentThrough, List<AgreedReport> stored, long first) {
         TreePMap<Long, AgreedReport> agreed = TreePMap.empty();
         for (AgreedReport report : stored) {
             agreed = agreed.plus(report.report().window(), report);
         }
-        long before = agreed.isEmpty() ? current - 1 : agreed.firstKey() - 1;
+        long before = agreed.isEmpty() ? first - 1 : agreed.firstKey() - 1;
         return new ReportQueue(sentThrough == 0 ? before : sentThrough, agreed);
     }
 
