--- a/application/src/main/java/org/sassafrastrail/application/GatewayTrainingRun.java
+++ b/application/src/main/java/org/sassafrastrail/application/GatewayTrainingRun.java
@@ -99,6 +99,7 @@
                 null,
                 2.0,
                 null,
+                null,
                 "INFO");
         if (!(readBack(settings) instanceof SettingsResult.Accepted<GatewaySettings>)) {
             return false;
--- a/application/src/main/java/org/sassafrastrail/application/PlatformGatewayFactory.java
+++ b/application/src/main/java/org/sassafrastrail/application/PlatformGatewayFactory.java
@@ -8,6 +8,7 @@
 import org.sassafrastrail.gateway.GatewaySettings;
 import org.sassafrastrail.http.UndertowHttpClient;
 import org.sassafrastrail.platform.PlatformClusterStateWatcher;
+import org.sassafrastrail.platform.PlatformDuties;
 import org.sassafrastrail.platform.PlatformHeaders;
 import org.sassafrastrail.platform.StoreEndpoint;
 import org.sassafrastrail.runtime.CompositeService;
@@ -33,6 +34,8 @@
                         settings,
                         new PlatformHeaders(),
                         new PlatformClusterStateWatcher(store, endpoint, settings.node(), monotonic),
-                        monotonic)));
+                        settings.duties().map(duties -> PlatformDuties.create(store, endpoint, duties)),
+                        monotonic,
+                        clock)));
     }
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -12,6 +13,7 @@
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.StatusCodes;
+import org.sassafrastrail.duty.DutyHolder;
 import org.sassafrastrail.gate.DrainSchedule;
 import org.sassafrastrail.gate.GatewayAction;
 import org.sassafrastrail.gate.GatewayCore;
@@ -20,6 +22,7 @@
 import org.sassafrastrail.gate.rotation.ProcessLoad;
 import org.sassafrastrail.gate.rotation.Rotation;
 import org.sassafrastrail.http.JsonResponses;
+import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.Incarnation;
 import org.sassafrastrail.runtime.ControlLoop;
 import org.sassafrastrail.runtime.EventLog;
@@ -61,11 +64,12 @@
     private final CallerListener readinessListener;
     private final PeerLinks peers;
     private final ActivityLog activity;
+    private final Optional<SingletonDuties> duties;
     private boolean overloaded;
     private Runnable stopWatching = () -> {};
 
     /**
-     * Creates a gateway that is not started yet.
+     * Creates a gateway without duties, which is not started yet.
      *
      * @param settings the settings of the gateway
      * @param protocol the headers of callers and upstreams
@@ -74,6 +78,26 @@
      */
     public GatewayDaemon(
             GatewaySettings settings, CallerProtocol protocol, ClusterStateSource clusterState, Clock clock) {
+        this(settings, protocol, clusterState, Optional.empty(), clock, clock);
+    }
+
+    /**
+     * Creates a gateway that is not started yet.
+     *
+     * @param settings the settings of the gateway
+     * @param protocol the headers of callers and upstreams
+     * @param clusterState the source of configurations and upstreams
+     * @param dutyPlatform the platform's side of duties, empty without duties
+     * @param clock a monotonic clock
+     * @param wallClock the wall clock
+     */
+    public GatewayDaemon(
+            GatewaySettings settings,
+            CallerProtocol protocol,
+            ClusterStateSource clusterState,
+            Optional<DutyPlatform> dutyPlatform,
+            Clock clock,
+            Clock wallClock) {
         this.settings = settings;
         this.clusterState = clusterState;
         DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
@@ -85,13 +109,24 @@
                 settings.limits().maxQueueingShare(),
                 FileDescriptorLimit.maxCallerConnections());
         AccountActivity accounts = new AccountActivity();
-        LoggingCallRecorder recorder = new LoggingCallRecorder(metrics, log, accounts);
+        LoggingCallRecorder recorder = new LoggingCallRecorder(metrics, log, accounts, this::requestBegan);
         this.callers = new CallerFrontEnd(protocol, this::state, this::post, recorder, admission, clock, buffers);
         this.activity = new ActivityLog(accounts, this::state, this::lag, callers::connectionCount, clock, log);
-        this.peers = new PeerLinks(
-                settings, new Incarnation(clock.millis()), this::post, () -> state().tableWatchers(), metrics, log);
+        Incarnation incarnation = new Incarnation(clock.millis());
+        this.peers = new PeerLinks(settings, incarnation, this::post, () -> state().tableWatchers(), metrics, log);
         GatewayActionExecutor actions = new GatewayActionExecutor(
                 callers, peers, clusterState::rejectVersion, drained::countDown, recorder, metrics, log);
+        this.duties = settings.duties()
+                .flatMap(cloud -> dutyPlatform.map(platform -> new SingletonDuties(
+                        new DutyContext(
+                                new DutyHolder(settings.node(), incarnation.value()),
+                                cloud,
+                                platform,
+                                peers,
+                                clock,
+                                metrics,
+                                log),
+                        wallClock)));
         this.control = new ControlLoop<>(
                 "control",
                 new GatewayCore(settings.limits()),
@@ -140,6 +175,10 @@
         return state().ready() && (rotation.hasAlternatives() ? rotation.inRotation() : admission.isCaughtUp());
     }
 
+    private void requestBegan(AccountName account) {
+        duties.ifPresent(present -> present.requestBegan(account));
+    }
+
     private void tick() {
         ioThreadLag.probe();
         activity.logIfDue();
@@ -196,6 +235,7 @@
         ticker.start();
         peers.start();
         stopWatching = clusterState.watch(this::post, peers);
+        duties.ifPresent(Service::start);
         readinessListener.start();
         callerListener.start();
         log.info("started", LogField.of("node", settings.node()), LogField.of("callers", settings.callers()));
@@ -221,6 +261,7 @@
         callers.awaitFinished(WRITE_TIME_OF_LAST_RESPONSES);
         callers.abortUnfinished();
         callers.awaitFinished(ABORT_TIME);
+        duties.ifPresent(Service::stop);
         stopWatching.run();
         callerListener.stop();
         readinessListener.stop();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
@@ -26,6 +26,7 @@
  * @param newVersionExtra the number of requests allowed for a new version in addition; null for the default
  * @param graceSeconds the seconds after which a stopping process is killed; null for the default
  * @param quotaWindowSeconds the seconds over which client accounts share capacity; null for the default
+ * @param cloud the API of the platform and the duties that gateways have there; null if there is none
  * @param logLevel the minimum level of logged events
  */
 public record GatewaySettings(
@@ -44,6 +45,7 @@
         Double newVersionExtra,
         Double graceSeconds,
         Double quotaWindowSeconds,
+        CloudSettings cloud,
         String logLevel) {
 
     private static final double PREFILL_TOKENS_PER_MILLISECOND = 80;
@@ -125,6 +127,15 @@
         return Optional.ofNullable(failureDomain).map(FailureDomainName::new);
     }
 
+    /**
+     * Returns the API of the platform, if this gateway has duties there.
+     *
+     * @return the settings, empty without an API or without duties
+     */
+    public Optional<CloudSettings> duties() {
+        return Optional.ofNullable(cloud).filter(CloudSettings::hasDuties);
+    }
+
     private DrainSchedule drain() {
         Duration maximum =
                 seconds(orDefault(graceSeconds, DEFAULT_GRACE_SECONDS)).minus(EXIT_TIME);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/LoggingCallRecorder.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/LoggingCallRecorder.java
@@ -1,6 +1,7 @@
 package org.sassafrastrail.gateway;
 
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 import org.sassafrastrail.gate.AttemptResult;
@@ -25,8 +26,18 @@
     private final Metrics metrics;
     private final EventLog log;
     private final AccountActivity accounts;
-
-    LoggingCallRecorder(Metrics metrics, EventLog log, AccountActivity accounts) {
+    private final Consumer<AccountName> beganListener;
+
+    /**
+     * Creates the recorder.
+     *
+     * @param metrics counts what is recorded
+     * @param log receives an event for each outcome
+     * @param accounts sums the cost of the requests of each client account
+     * @param beganListener receives the client account of each request that an upstream begins to respond to, once
+     */
+    LoggingCallRecorder(Metrics metrics, EventLog log, AccountActivity accounts, Consumer<AccountName> beganListener) {
+        this.beganListener = beganListener;
         this.metrics = metrics;
         this.accounts = accounts;
         this.log = log;
@@ -52,6 +63,9 @@
     @Override
     public void stepReached(Optional<AccountName> account, AccountActivity.Step step, long cost) {
         accounts.add(account, step, cost);
+        if (step == AccountActivity.Step.BEGAN) {
+            account.ifPresent(beganListener);
+        }
     }
 
     @Override
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -14,6 +14,7 @@
 import org.sassafrastrail.durable.SharedTable;
 import org.sassafrastrail.durable.TableChanges;
 import org.sassafrastrail.durable.WatchedTable;
+import org.sassafrastrail.duty.DutyHolder;
 import org.sassafrastrail.gate.CrashReport;
 import org.sassafrastrail.gate.DrainReport;
 import org.sassafrastrail.gate.GatewayAction;
@@ -25,6 +26,7 @@
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.CrashUpdate;
 import org.sassafrastrail.messages.DrainUpdate;
+import org.sassafrastrail.messages.DutyUpdate;
 import org.sassafrastrail.messages.Hello;
 import org.sassafrastrail.messages.LimitUpdate;
 import org.sassafrastrail.messages.LoadReport;
@@ -34,6 +36,7 @@
 import org.sassafrastrail.messages.RotationUpdate;
 import org.sassafrastrail.messages.TableCopy;
 import org.sassafrastrail.messages.TableUpdate;
+import org.sassafrastrail.messages.UsageUpdate;
 import org.sassafrastrail.model.Incarnation;
 import org.sassafrastrail.model.NodeName;
 import org.sassafrastrail.runtime.EventLog;
@@ -51,7 +54,7 @@
 import org.sassafrastrail.wire.MessagePackCodec;
 
 /** The links to the other gateways, which carry load reports, and copies of tables while the store is unavailable. */
-final class PeerLinks implements Service, GatewayPeers, PeerNotifier, LinkListener {
+final class PeerLinks implements Service, GatewayPeers, PeerNotifier, DutyPeers, LinkListener {
 
     private static final Duration REDIAL_INTERVAL = Duration.ofSeconds(1);
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(800);
@@ -74,6 +77,7 @@
 
     private final Map<String, WatchedTable> tables = new ConcurrentHashMap<>();
     private final Map<String, SharedTable> followedTables = new ConcurrentHashMap<>();
+    private volatile DutyMessageListener dutyListener = DutyMessageListener.NONE;
 
     PeerLinks(
             GatewaySettings settings,
@@ -229,6 +233,26 @@
         sendTo(answer.gateway(), RateLimitMapper.toMessage(answer));
     }
 
+    @Override
+    public void shareUsage(UsageUpdate update) {
+        sendToAll(update);
+    }
+
+    @Override
+    public void announceLease(DutyUpdate update) {
+        sendToAll(update);
+    }
+
+    @Override
+    public Set<String> linkedPeers() {
+        return Set.copyOf(links.keySet());
+    }
+
+    @Override
+    public void listen(DutyMessageListener listener) {
+        dutyListener = listener;
+    }
+
     private void sendTo(String peer, Message message) {
         links.getOrDefault(peer, List.of()).stream().findFirst().ifPresent(link -> link.send(message));
     }
@@ -274,9 +298,18 @@
         } else if (message instanceof TableUpdate update) {
             Optional.ofNullable(followedTables.get(update.table()))
                     .ifPresent(table -> table.follow(TableMapper.fromMessage(update)));
+        } else if (message instanceof UsageUpdate update) {
+            dutyListener.usageReceived(holder(link), update);
+        } else if (message instanceof DutyUpdate update) {
+            dutyListener.leaseReceived(holder(link), update);
         }
     }
 
+    private static DutyHolder holder(Link link) {
+        return new DutyHolder(
+                link.peer().node().value(), link.peer().incarnation().value());
+    }
+
     private void applyCopy(Link link, TableCopy copy) {
         boolean applied = Optional.ofNullable(tables.get(copy.table()))
                 .filter(table -> table.replaceIfNewer(TableMapper.fromMessage(copy)))
--- a/gateway/src/test/java/org/sassafrastrail/gateway/PeerLinksTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/PeerLinksTest.java
@@ -56,6 +56,7 @@
                     null,
                     2.0,
                     null,
+                    null,
                     "WARN"),
             new Incarnation(1),
             event -> {},
--- a/messages/src/main/java/org/sassafrastrail/messages/Message.java
+++ b/messages/src/main/java/org/sassafrastrail/messages/Message.java
@@ -23,4 +23,6 @@
                 PermitRequest,
                 PermitAnswer,
                 RotationUpdate,
-                TableUpdate {}
+                TableUpdate,
+                UsageUpdate,
+                DutyUpdate {}
--- a/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
@@ -9,6 +9,7 @@
 import org.sassafrastrail.messages.CrashUpdate;
 import org.sassafrastrail.messages.Demand;
 import org.sassafrastrail.messages.DrainUpdate;
+import org.sassafrastrail.messages.DutyUpdate;
 import org.sassafrastrail.messages.EvidenceUpdate;
 import org.sassafrastrail.messages.GrantOffer;
 import org.sassafrastrail.messages.GrantReturn;
@@ -26,6 +27,7 @@
 import org.sassafrastrail.messages.RulesRequest;
 import org.sassafrastrail.messages.TableCopy;
 import org.sassafrastrail.messages.TableUpdate;
+import org.sassafrastrail.messages.UsageUpdate;
 
 /** The kinds of messages, each with the number that identifies it in a frame. A number is never reused for another kind. */
 enum MessageKind {
@@ -50,7 +52,9 @@
     PERMIT_REQUEST(19, PermitRequest.class),
     PERMIT_ANSWER(20, PermitAnswer.class),
     ROTATION_UPDATE(21, RotationUpdate.class),
-    TABLE_UPDATE(22, TableUpdate.class);
+    TABLE_UPDATE(22, TableUpdate.class),
+    USAGE_UPDATE(30, UsageUpdate.class),
+    DUTY_UPDATE(31, DutyUpdate.class);
 
     private final byte number;
     private final Class<? extends Message> type;
--- a/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
@@ -17,6 +17,7 @@
 import org.sassafrastrail.fairness.LedgerEntry;
 import org.sassafrastrail.fairness.LedgerKey;
 import org.sassafrastrail.fairness.LedgerWriter;
+import org.sassafrastrail.messages.AccountCount;
 import org.sassafrastrail.messages.AccountDemand;
 import org.sassafrastrail.messages.AccountUsage;
 import org.sassafrastrail.messages.CopiedRow;
@@ -31,6 +32,7 @@
 import org.sassafrastrail.messages.UpstreamCrash;
 import org.sassafrastrail.messages.UpstreamEndpoint;
 import org.sassafrastrail.messages.UpstreamLoad;
+import org.sassafrastrail.messages.WindowUsage;
 import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.AttemptIdentifier;
 import org.sassafrastrail.model.FailureDomainName;
@@ -61,6 +63,7 @@
             VersionName.class);
     private static final List<Class<?>> LONG_VALUE_TYPES = List.of(Incarnation.class, Revision.class);
     private static final List<Class<?>> NESTED_TYPES = List.of(
+            AccountCount.class,
             AccountDemand.class,
             AccountUsage.class,
             AttemptIdentifier.class,
@@ -82,7 +85,8 @@
             UpstreamCrash.class,
             UpstreamLoad.class,
             UpstreamEndpoint.class,
-            UpstreamProfile.class);
+            UpstreamProfile.class,
+            WindowUsage.class);
 
     private final ObjectMapper mapper = mapper();
 
--- a/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
+++ b/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
@@ -18,6 +18,7 @@
 import org.sassafrastrail.fairness.LedgerEntry;
 import org.sassafrastrail.fairness.LedgerKey;
 import org.sassafrastrail.fairness.LedgerWriter;
+import org.sassafrastrail.messages.AccountCount;
 import org.sassafrastrail.messages.AccountDemand;
 import org.sassafrastrail.messages.AccountUsage;
 import org.sassafrastrail.messages.AttemptQuery;
@@ -27,6 +28,7 @@
 import org.sassafrastrail.messages.Demand;
 import org.sassafrastrail.messages.DrainUpdate;
 import org.sassafrastrail.messages.DrainingUpstream;
+import org.sassafrastrail.messages.DutyUpdate;
 import org.sassafrastrail.messages.EvidenceEntry;
 import org.sassafrastrail.messages.EvidenceUpdate;
 import org.sassafrastrail.messages.GrantOffer;
@@ -53,6 +55,8 @@
 import org.sassafrastrail.messages.UpstreamCrash;
 import org.sassafrastrail.messages.UpstreamEndpoint;
 import org.sassafrastrail.messages.UpstreamLoad;
+import org.sassafrastrail.messages.UsageUpdate;
+import org.sassafrastrail.messages.WindowUsage;
 import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.AttemptIdentifier;
 import org.sassafrastrail.model.FailureDomainName;
@@ -107,6 +111,10 @@
                 new PermitRequest(new LimitedUpstream("i-1", 1_770_000_000_000L, OptionalDouble.of(0.5), 40)),
                 new PermitAnswer("i-1", 1_770_000_000_000L, false, 85),
                 new RotationUpdate(new FailureDomainName("north"), false, 0.25, 430),
+                new UsageUpdate(
+                        1_770_000_000_000L,
+                        List.of(new WindowUsage(353_445_120, List.of(new AccountCount("kitchen", 412))))),
+                new DutyUpdate("usage_report", 7, 3, 353_445_119, 353_445_120, false, 12),
                 new CopyRequest("servers", 17),
                 new TableCopy("servers", 18, List.of()),
                 new TableUpdate("servers", 17, 18, List.of(), List.of(new RemovedRow("i-1", 18))),
