Wait longer for an answer of the platform's API than the API may take

A call ended after 1.5 s, so an API that takes longer would have got the same report for ever. The time-out is 4 s, and a holder counts its failures from the start of the first failed call, so that it still gives the lease up in time.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/UsageReporter.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UsageReporter.java
@@ -20,7 +20,8 @@
 /** Agrees on the usage reports in the store and sends them in order, while this gateway has the lease. Runs on one thread. */
 final class UsageReporter {
 
-    private static final Duration CALL_TIMEOUT = Duration.ofMillis(1500);
+    /** Shorter than a usual window, so that reports keep up with an API that is almost as slow. */
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(4);
 
     private final String gateway;
     private final LeaseKeeper lease;
@@ -128,9 +129,10 @@
         UsageReport report = next.get();
         boolean repeated = report.window() <= lastTried;
         lastTried = report.window();
+        Instant startedAt = clock.instant();
         DutyPlatform.CallResult result = platform.send(gateway, lease.token(), report, CALL_TIMEOUT);
         if (!result.accepted()) {
-            failed(report, result.cause());
+            failed(report, startedAt, result.cause());
             return present;
         }
         failingSince = Optional.empty();
@@ -139,13 +141,13 @@
         return present.withSent(report.window());
     }
 
-    private void failed(UsageReport report, String cause) {
+    private void failed(UsageReport report, Instant startedAt, String cause) {
         metrics.count("usage-reports.failed", 1);
-        Instant now = clock.instant();
         if (failingSince.isEmpty()) {
-            failingSince = Optional.of(now);
+            failingSince = Optional.of(startedAt);
             log.warn("usage-report-failed", LogField.of("window", report.window()), LogField.of("cause", cause));
-        } else if (!now.isBefore(failingSince.get().plus(times.lease()))) {
+        }
+        if (!clock.instant().isBefore(failingSince.get().plus(times.lease()))) {
             failingSince = Optional.empty();
             lease.releaseIfOthersCanTry();
         }
