--- a/durable/src/main/java/org/sassafrastrail/durable/SharedTable.java
+++ b/durable/src/main/java/org/sassafrastrail/durable/SharedTable.java
@@ -15,7 +15,7 @@
     private static final int MAX_JITTER_MILLISECONDS = 150;
 
     /** A poll that took longer than its wait by this time says nothing about the present: this process was paused. */
-    private static final Duration MAX_POLL_OVERTIME = Duration.ofMillis(500);
+    private static final Duration MAX_POLL_OVERTIME = Duration.ofMillis(100);
 
     private final WatchedTable table;
     private final Duration maximumWait;
--- a/duty-core/src/main/java/org/sassafrastrail/duty/Lease.java
+++ b/duty-core/src/main/java/org/sassafrastrail/duty/Lease.java
@@ -253,6 +253,24 @@
                 now.plus(times.untilTakeover()));
     }
 
+    /**
+     * Stops acting as the holder, before the lease is given up.
+     *
+     * @return the new state
+     */
+    public Lease withoutTenure() {
+        return new Lease(self, times, known, Optional.empty(), pending, highest, check, nextStepAt);
+    }
+
+    /**
+     * Returns the version of the row as it was last seen.
+     *
+     * @return the version, 0 if there is no row or it is unknown
+     */
+    public long version() {
+        return known.map(KnownRow::version).orElse(0L);
+    }
+
     /**
      * Records a write that failed because the row has another version.
      *
--- a/duty-core/src/main/java/org/sassafrastrail/duty/LeaseRow.java
+++ b/duty-core/src/main/java/org/sassafrastrail/duty/LeaseRow.java
@@ -11,6 +11,16 @@
  */
 public record LeaseRow(DutyHolder holder, FencingToken token, long renewal, long progress, boolean released) {
 
+    /**
+     * Returns the row with a later progress, as it will be written with the next renewal.
+     *
+     * @param newProgress how far the duty is done
+     * @return the row
+     */
+    public LeaseRow withProgress(long newProgress) {
+        return new LeaseRow(holder, token, renewal, Math.max(progress, newProgress), released);
+    }
+
     LeaseRow renewed(long newProgress) {
         return new LeaseRow(holder, token, renewal + 1, Math.max(progress, newProgress), false);
     }
--- a/duty-core/src/main/java/org/sassafrastrail/duty/UsageCounts.java
+++ b/duty-core/src/main/java/org/sassafrastrail/duty/UsageCounts.java
@@ -20,7 +20,7 @@
     public static final UsageCounts NONE = new UsageCounts(TreePMap.empty());
 
     /** Bounds the memory while no report can be agreed on. */
-    private static final int MAX_WINDOWS = 120;
+    private static final int MAX_WINDOWS = 24;
 
     /**
      * Merges what a gateway run told of a window.
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -68,7 +68,7 @@
                         DrainNotices.NONE,
                         RateLimits.NONE,
                         Permits.NONE,
-                        Rotation.start(domain)),
+                        Rotation.start(gateway, domain)),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
                 UpstreamPauses.NONE,
--- a/gate-core/src/main/java/org/sassafrastrail/gate/rotation/OverloadRotationPolicy.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/rotation/OverloadRotationPolicy.java
@@ -4,7 +4,7 @@
 import java.time.Instant;
 
 /**
- * Takes a gateway out of the rotation that was overloaded for a good part of the last second, and puts it back when it has
+ * Takes a gateway out of the rotation that was overloaded for a tenth of the last second, and puts it back when it has
  * caught up and lost some of its connections. It leaves only while at least half of the gateways of its failure domain stay,
  * the most loaded first: the load balancer uses all of a domain's gateways when fewer are in rotation.
  */
@@ -17,7 +17,7 @@
     private static final Duration MIN_TIME_OUT = Duration.ofSeconds(3);
 
     private static final Duration MAX_TIME_OUT = Duration.ofSeconds(8);
-    private static final Duration MIN_TIME_IN = Duration.ofSeconds(1);
+    private static final Duration MIN_TIME_IN = Duration.ofSeconds(2);
 
     /** A gateway that returns with more of its connections than this would be overloaded again. */
     private static final double CONNECTIONS_TO_RETURN = 0.75;
@@ -33,16 +33,7 @@
     private static boolean shouldLeave(Rotation rotation, Instant now) {
         return rotation.overload().value() >= OVERLOAD_SHARE_TO_LEAVE
                 && !now.isBefore(rotation.changedAt().plus(MIN_TIME_IN))
-                && rotation.outOfRotation(now) + moreOverloaded(rotation, now) < rotation.mayBeOut();
-    }
-
-    /** Counts the peers in rotation that are more overloaded, so that they leave first. */
-    private static long moreOverloaded(Rotation rotation, Instant now) {
-        return rotation.freshPeers(now)
-                .filter(RotationReport::inRotation)
-                .filter(peer -> peer.overloadShare() >= OVERLOAD_SHARE_TO_LEAVE)
-                .filter(peer -> peer.overloadShare() > rotation.overload().value())
-                .count();
+                && rotation.outOfRotation(now) + rotation.rankedBefore(true, now) < rotation.mayBeOut();
     }
 
     private static boolean shouldReturn(Rotation rotation, Instant now) {
@@ -57,12 +48,8 @@
         return overdue || out.compareTo(MIN_TIME_OUT) >= 0 && caughtUp;
     }
 
-    /** After gateways have left at the same moment, the least loaded of them return. */
+    /** After gateways have left at the same moment, those that rank last return. */
     private static boolean tooManyOut(Rotation rotation, Instant now) {
-        long moreLoaded = rotation.freshPeers(now)
-                .filter(peer -> !peer.inRotation())
-                .filter(peer -> peer.overloadShare() >= rotation.overload().value())
-                .count();
-        return moreLoaded >= rotation.mayBeOut();
+        return rotation.rankedBefore(false, now) >= rotation.mayBeOut();
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/rotation/OverloadShare.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/rotation/OverloadShare.java
@@ -16,8 +16,8 @@
 
     private static final Duration TIME_CONSTANT = Duration.ofSeconds(1);
 
-    /** Longer than the interval between two samples of an idle process. */
-    private static final Duration MAX_TIME_OF_SAMPLE = Duration.ofMillis(150);
+    /** A sample after a pause counts for less than the share at which a gateway leaves the rotation. */
+    private static final Duration MAX_TIME_OF_SAMPLE = Duration.ofMillis(75);
 
     OverloadShare withSample(boolean overloaded, Instant now) {
         Duration sinceLast = measuredAt.isBefore(now) ? Duration.between(measuredAt, now) : Duration.ZERO;
--- a/gate-core/src/main/java/org/sassafrastrail/gate/rotation/Rotation.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/rotation/Rotation.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -15,20 +16,24 @@
 /**
  * Whether this gateway is in the rotation of the load balancer, with what the decision rests on.
  *
- * @param domain the failure domain of this gateway, empty if it is not known
+ * @param self the name of this gateway
+ * @param domain its failure domain, empty if it is not known
  * @param inRotation whether this gateway reports ready as far as its load is concerned
  * @param changedAt when it last left the rotation or returned
  * @param connectionsAtChange the number of callers' connections at that time
+ * @param overloadAtChange the share of the time before in which it was overloaded
  * @param load the last load that was measured
  * @param overload the share of the recent time in which it was overloaded
  * @param peers the last report of each connected gateway
  * @param sharedAt when the peers were last told
  */
 public record Rotation(
+        String self,
         Optional<FailureDomainName> domain,
         boolean inRotation,
         Instant changedAt,
         int connectionsAtChange,
+        double overloadAtChange,
         ProcessLoad load,
         OverloadShare overload,
         PMap<String, PeerRotation> peers,
@@ -48,20 +53,31 @@
     /**
      * The report of a peer.
      *
+     * @param name the name of the peer
      * @param report the report
      * @param heardAt when it was received
      */
-    record PeerRotation(RotationReport report, Instant heardAt) {}
+    record PeerRotation(String name, RotationReport report, Instant heardAt) {}
 
     /**
      * Creates the state of a gateway that starts.
      *
+     * @param self its name
      * @param domain its failure domain, empty if it is not known
      * @return the state
      */
-    public static Rotation start(Optional<FailureDomainName> domain) {
+    public static Rotation start(String self, Optional<FailureDomainName> domain) {
         return new Rotation(
-                domain, true, Instant.MIN, 0, ProcessLoad.NONE, OverloadShare.NONE, HashTreePMap.empty(), Instant.MIN);
+                self,
+                domain,
+                true,
+                Instant.MIN,
+                0,
+                0,
+                ProcessLoad.NONE,
+                OverloadShare.NONE,
+                HashTreePMap.empty(),
+                Instant.MIN);
     }
 
     /**
@@ -89,21 +105,25 @@
      * Returns the time from one connection that is handed over to the next.
      *
      * @param now the time
-     * @return the time, empty while this gateway is in rotation or has no more connections than its peers
+     * @return the time, empty while this gateway is in rotation, has no more connections than its peers or knows of none in rotation
      */
     public Optional<Duration> handOverInterval(Instant now) {
-        double surplus = connectionsAtChange - meanConnections(now);
-        return inRotation || load.connections() <= meanConnections(now) || surplus <= 0
-                ? Optional.empty()
-                : Optional.of(Duration.ofNanos(Math.round(HAND_OVER_TIME.toNanos() / surplus)));
-    }
-
-    private double meanConnections(Instant now) {
-        return freshPeers(now)
+        if (inRotation) {
+            return Optional.empty();
+        }
+        OptionalDouble mean = freshPeers(now)
+                .map(PeerRotation::report)
                 .filter(RotationReport::inRotation)
                 .mapToInt(RotationReport::connections)
-                .average()
-                .orElse(0);
+                .average();
+        return mean.isPresent() ? handOverInterval(mean.getAsDouble()) : Optional.empty();
+    }
+
+    private Optional<Duration> handOverInterval(double meanOfPeers) {
+        double surplus = connectionsAtChange - meanOfPeers;
+        return load.connections() <= meanOfPeers || surplus <= 0
+                ? Optional.empty()
+                : Optional.of(Duration.ofNanos(Math.round(HAND_OVER_TIME.toNanos() / surplus)));
     }
 
     /**
@@ -116,10 +136,12 @@
     public Rotation withLoad(ProcessLoad measured, Instant now) {
         boolean overloaded = measured.lag().compareTo(OVERLOADED_LAG) >= 0;
         return new Rotation(
+                self,
                 domain,
                 inRotation,
                 changedAt,
                 connectionsAtChange,
+                overloadAtChange,
                 measured,
                 overload.withSample(overloaded, now),
                 peers,
@@ -136,7 +158,17 @@
     public Rotation changedTo(boolean next, Instant now) {
         return next == inRotation
                 ? this
-                : new Rotation(domain, next, now, load.connections(), load, overload, peers, Instant.MIN);
+                : new Rotation(
+                        self,
+                        domain,
+                        next,
+                        now,
+                        load.connections(),
+                        overload.value(),
+                        load,
+                        overload,
+                        peers,
+                        Instant.MIN);
     }
 
     /**
@@ -148,7 +180,7 @@
      * @return the state
      */
     public Rotation withReport(String peer, RotationReport report, Instant now) {
-        return withPeers(peers.plus(peer, new PeerRotation(report, now)));
+        return withPeers(peers.plus(peer, new PeerRotation(peer, report, now)));
     }
 
     /**
@@ -162,7 +194,17 @@
     }
 
     private Rotation withPeers(PMap<String, PeerRotation> next) {
-        return new Rotation(domain, inRotation, changedAt, connectionsAtChange, load, overload, next, sharedAt);
+        return new Rotation(
+                self,
+                domain,
+                inRotation,
+                changedAt,
+                connectionsAtChange,
+                overloadAtChange,
+                load,
+                overload,
+                next,
+                sharedAt);
     }
 
     /**
@@ -173,7 +215,7 @@
      */
     public Optional<RotationReport> dueReport(Instant now) {
         return domain.filter(known -> !now.isBefore(sharedAt.plus(SHARE_INTERVAL)))
-                .map(known -> new RotationReport(known, inRotation, overload.value(), load.connections()));
+                .map(known -> new RotationReport(known, inRotation, rankingShare(), load.connections()));
     }
 
     /**
@@ -183,7 +225,8 @@
      * @return the state
      */
     public Rotation asShared(Instant now) {
-        return new Rotation(domain, inRotation, changedAt, connectionsAtChange, load, overload, peers, now);
+        return new Rotation(
+                self, domain, inRotation, changedAt, connectionsAtChange, overloadAtChange, load, overload, peers, now);
     }
 
     /**
@@ -195,11 +238,30 @@
         return asShared(Instant.MIN);
     }
 
-    /** Returns the reports of the gateways of the same failure domain that are recent. */
-    Stream<RotationReport> freshPeers(Instant now) {
-        return domainPeers()
-                .filter(peer -> !now.isAfter(peer.heardAt().plus(MAX_AGE_OF_REPORT)))
-                .map(PeerRotation::report);
+    /**
+     * Returns the overload by which gateways are ranked: the present one in rotation, and that when it left out of it, so that
+     * gateways out of rotation rank each other alike.
+     */
+    double rankingShare() {
+        return inRotation ? overload.value() : overloadAtChange;
+    }
+
+    /** Returns the gateways of the same failure domain whose last report is recent. */
+    Stream<PeerRotation> freshPeers(Instant now) {
+        return domainPeers().filter(peer -> !now.isAfter(peer.heardAt().plus(MAX_AGE_OF_REPORT)));
+    }
+
+    /** Returns how many of the peers with a recent report are in rotation, or out of it, and rank before this gateway. */
+    long rankedBefore(boolean peersInRotation, Instant now) {
+        return freshPeers(now)
+                .filter(peer -> peer.report().inRotation() == peersInRotation)
+                .filter(this::ranksBefore)
+                .count();
+    }
+
+    private boolean ranksBefore(PeerRotation peer) {
+        int byShare = Double.compare(peer.report().overloadShare(), rankingShare());
+        return byShare > 0 || byShare == 0 && peer.name().compareTo(self) < 0;
     }
 
     private Stream<PeerRotation> domainPeers() {
@@ -212,7 +274,7 @@
 
     /** Returns how many of the other gateways of the domain are out of rotation. One whose report is old counts as in rotation. */
     long outOfRotation(Instant now) {
-        return freshPeers(now).filter(peer -> !peer.inRotation()).count();
+        return freshPeers(now).filter(peer -> !peer.report().inRotation()).count();
     }
 
     /** Returns how many gateways of the domain may be out of rotation at once. */
--- a/gate-core/src/test/java/org/sassafrastrail/gate/rotation/GatewaysOfOneDomain.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/rotation/GatewaysOfOneDomain.java
@@ -31,7 +31,13 @@
     private final int[] failedChecks;
     private final IntUnaryOperator capacity;
     private IntPredicate linkWorks = gateway -> true;
+    private final List<UnderWay> underWay = new ArrayList<>();
+    private Duration reportDelay = Duration.ZERO;
     private Instant now = Instant.EPOCH;
+
+    /** A report that has been sent and not yet received. */
+    private record UnderWay(Instant arrivesAt, int gateway, RotationReport report) {}
+
     private int mostOutAtOnce;
     private final Set<Integer> leftRotation = new TreeSet<>();
 
@@ -39,7 +45,8 @@
         this.connections = IntStream.range(0, gateways).map(connections).toArray();
         this.failedChecks = new int[gateways];
         this.capacity = capacity;
-        IntStream.range(0, gateways).forEach(gateway -> rotations.add(Rotation.start(Optional.of(DOMAIN))));
+        IntStream.range(0, gateways)
+                .forEach(gateway -> rotations.add(Rotation.start("gateway-" + gateway, Optional.of(DOMAIN))));
     }
 
     /** Loses the reports of the gateways for which this is false. */
@@ -47,9 +54,14 @@
         linkWorks = next;
     }
 
+    void setReportDelay(Duration next) {
+        reportDelay = next;
+    }
+
     void run(Duration time) {
         Instant until = now.plus(time);
         while (now.isBefore(until)) {
+            deliverReports();
             IntStream.range(0, rotations.size()).forEach(this::tick);
             long out = rotations.stream()
                     .filter(rotation -> !rotation.inRotation())
@@ -81,13 +93,25 @@
 
     private void tellPeers(int gateway, RotationReport report) {
         if (linkWorks.test(gateway)) {
-            IntStream.range(0, rotations.size())
-                    .filter(peer -> peer != gateway)
-                    .forEach(peer ->
-                            rotations.set(peer, rotations.get(peer).withReport("gateway-" + gateway, report, now)));
+            underWay.add(new UnderWay(now.plus(reportDelay), gateway, report));
         }
     }
 
+    private void deliverReports() {
+        List<UnderWay> arrived = underWay.stream()
+                .filter(report -> !now.isBefore(report.arrivesAt()))
+                .toList();
+        underWay.removeAll(arrived);
+        arrived.forEach(this::deliver);
+    }
+
+    private void deliver(UnderWay arrived) {
+        String name = "gateway-" + arrived.gateway();
+        IntStream.range(0, rotations.size())
+                .filter(peer -> peer != arrived.gateway())
+                .forEach(peer -> rotations.set(peer, rotations.get(peer).withReport(name, arrived.report(), now)));
+    }
+
     private void check(int gateway) {
         if (now.toEpochMilli() % CHECK.toMillis() == 0) {
             failedChecks[gateway] = rotations.get(gateway).inRotation() ? 0 : failedChecks[gateway] + 1;
@@ -117,6 +141,7 @@
 
     /** Measures the lag of a process that was paused, once. */
     void pause(int gateway, Duration time) {
+        now = now.plus(time);
         rotations.set(gateway, rotations.get(gateway).withLoad(new ProcessLoad(time, connections[gateway]), now));
     }
 
--- a/gate-core/src/test/java/org/sassafrastrail/gate/rotation/OverloadRotationPolicyTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/rotation/OverloadRotationPolicyTest.java
@@ -44,15 +44,20 @@
         assertThat(gateways.isInRotation(0)).isFalse();
     }
 
-    /** Guards against a failure domain without gateways when all are overloaded. */
-    @Test
-    void atLeastHalfOfTheDomainStaysInRotation() {
+    /** Guards against a failure domain without gateways when all become overloaded before they hear of each other. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 50, 500})
+    void halfOfTheDomainIsBackAsSoonAsItHearsThatTooManyLeft(int reportMilliseconds) {
         GatewaysOfOneDomain gateways =
-                new GatewaysOfOneDomain(GATEWAYS, gateway -> 300 + gateway, gateway -> USUAL_CONNECTIONS);
-        gateways.run(Duration.ofSeconds(1));
-        gateways.run(Duration.ofSeconds(20));
-        long in = IntStream.range(0, GATEWAYS).filter(gateways::isInRotation).count();
-        assertThat(in).isGreaterThanOrEqualTo(GATEWAYS / 2);
+                new GatewaysOfOneDomain(GATEWAYS, gateway -> 300 + gateway % 3, gateway -> USUAL_CONNECTIONS);
+        gateways.setReportDelay(Duration.ofMillis(reportMilliseconds));
+        gateways.run(Duration.ofMillis(1_200));
+        for (int second = 0; second < 20; second++) {
+            gateways.run(Duration.ofSeconds(1));
+            long in =
+                    IntStream.range(0, GATEWAYS).filter(gateways::isInRotation).count();
+            assertThat(in).as("after second " + second).isGreaterThanOrEqualTo(GATEWAYS / 2);
+        }
     }
 
     /** Guards against callers sent away from their only gateway. */
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerListener.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerListener.java
@@ -39,7 +39,7 @@
     private final Metrics metrics;
     private final EventLog log;
     private AcceptingChannel<? extends StreamConnection> server;
-    private volatile NewConnections newConnections = NewConnections.ACCEPT;
+    private volatile boolean accepting = true;
 
     CallerListener(
             String address,
@@ -90,7 +90,7 @@
             int accepted = 0;
             StreamConnection next = channel.accept();
             while (next != null) {
-                if (newConnections != NewConnections.ACCEPT) {
+                if (!accepting) {
                     closeUnread(next);
                 } else {
                     listener.handleEvent(next);
@@ -108,19 +108,19 @@
         IoUtils.safeClose(connection);
     }
 
-    /** Sets what happens to new connections from now on. Can be called before the start. */
-    synchronized void setNewConnections(NewConnections next) {
-        if (next == newConnections) {
+    /** Accepts new connections, or leaves them in the operating system's short queue. Can be called before the start. */
+    synchronized void setAccepting(boolean accepting) {
+        if (accepting == this.accepting) {
             return;
         }
-        newConnections = next;
+        this.accepting = accepting;
         if (server != null && server.isOpen()) {
             applyAccepting();
         }
     }
 
     private void applyAccepting() {
-        if (newConnections != NewConnections.LEAVE_WAITING) {
+        if (accepting) {
             server.resumeAccepts();
         } else {
             server.suspendAccepts();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/DutyContext.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/DutyContext.java
@@ -19,7 +19,7 @@
  */
 record DutyContext(
         DutyHolder self,
-        CloudSettings settings,
+        DutySettings settings,
         DutyPlatform platform,
         DutyPeers peers,
         Clock clock,
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CloudSettings.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/DutySettings.java
@@ -10,24 +10,24 @@
  * The settings of the platform's API and of the duties that one gateway at a time has there.
  *
  * @param address the address of the API, host and port; null if there is none
- * @param duties the names of the duties; null for none
+ * @param names the names of the duties; null for none
  * @param leaseMilliseconds the time for which a lease of a duty is valid; null for the default
- * @param thawSlackMilliseconds the margin for a pause of the process between a check of the lease and a call; null for the
+ * @param pauseMarginMilliseconds the margin for a pause of the process between a check of the lease and a call; null for the
  *     default
  * @param reportWindowSeconds the length of a window of usage reports; null for the default
  * @param usageLateSeconds the time after the end of a window at which its report is due; null for the default
  */
-public record CloudSettings(
+public record DutySettings(
         String address,
-        List<String> duties,
+        List<String> names,
         Double leaseMilliseconds,
-        Double thawSlackMilliseconds,
+        Double pauseMarginMilliseconds,
         Double reportWindowSeconds,
         Double usageLateSeconds) {
 
     private static final String USAGE_REPORT = "usage_report";
     private static final double DEFAULT_LEASE_MILLISECONDS = 3000;
-    private static final double DEFAULT_THAW_SLACK_MILLISECONDS = 300;
+    private static final double DEFAULT_PAUSE_MARGIN_MILLISECONDS = 300;
     private static final double DEFAULT_REPORT_WINDOW_SECONDS = 5;
     private static final double DEFAULT_USAGE_LATE_SECONDS = 10;
     private static final double MILLISECONDS_PER_SECOND = 1000;
@@ -38,13 +38,13 @@
      * @return whether there is
      */
     boolean hasDuties() {
-        return address != null && duties != null && duties.contains(USAGE_REPORT);
+        return address != null && names != null && names.contains(USAGE_REPORT);
     }
 
     LeaseTimes leaseTimes() {
         return new LeaseTimes(
                 milliseconds(orDefault(leaseMilliseconds, DEFAULT_LEASE_MILLISECONDS)),
-                milliseconds(orDefault(thawSlackMilliseconds, DEFAULT_THAW_SLACK_MILLISECONDS)));
+                milliseconds(orDefault(pauseMarginMilliseconds, DEFAULT_PAUSE_MARGIN_MILLISECONDS)));
     }
 
     Duration usageLate() {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -116,7 +116,7 @@
         this.peers = new PeerLinks(settings, incarnation, this::post, () -> state().tableWatchers(), metrics, log);
         GatewayActionExecutor actions = new GatewayActionExecutor(
                 callers, peers, clusterState::rejectVersion, drained::countDown, recorder, metrics, log);
-        this.duties = settings.duties()
+        this.duties = settings.configuredDuties()
                 .flatMap(cloud -> dutyPlatform.map(platform -> new SingletonDuties(
                         new DutyContext(
                                 new DutyHolder(settings.node(), incarnation.value()),
@@ -187,15 +187,10 @@
         post(new GatewayEvent.Ticked());
     }
 
-    /**
-     * While this gateway reports ready, callers are sent to it, and under overload they must learn at once that they need another
-     * gateway. It leaves them waiting only where it has told the load balancer, or where there is no other gateway.
-     */
     private void updateOverload(boolean overloaded) {
-        Rotation rotation = state().rotation();
-        callerListener.setNewConnections(newConnections(overloaded, rotation));
         if (overloaded != this.overloaded) {
             this.overloaded = overloaded;
+            callerListener.setAccepting(!overloaded);
             log.warn(
                     overloaded ? "overloaded" : "keeps-up",
                     LogField.of("control-lag-ms", control.lag().toMillis()),
@@ -203,15 +198,6 @@
         }
     }
 
-    private static NewConnections newConnections(boolean overloaded, Rotation rotation) {
-        if (!overloaded) {
-            return NewConnections.ACCEPT;
-        }
-        return rotation.hasAlternatives() && rotation.inRotation()
-                ? NewConnections.LEAVE_WAITING
-                : NewConnections.LEAVE_WAITING;
-    }
-
     /** The lag of this process: the longer of the lags of the control thread and the I/O thread. */
     private Duration lag() {
         return Collections.max(List.of(control.lag(), ioThreadLag.lag()));
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewaySettings.java
@@ -26,7 +26,7 @@
  * @param newVersionExtra the number of requests allowed for a new version in addition; null for the default
  * @param graceSeconds the seconds after which a stopping process is killed; null for the default
  * @param quotaWindowSeconds the seconds over which client accounts share capacity; null for the default
- * @param cloud the API of the platform and the duties that gateways have there; null if there is none
+ * @param duties the API of the platform and the duties that gateways have there; null if there is none
  * @param logLevel the minimum level of logged events
  */
 public record GatewaySettings(
@@ -45,7 +45,7 @@
         Double newVersionExtra,
         Double graceSeconds,
         Double quotaWindowSeconds,
-        CloudSettings cloud,
+        DutySettings duties,
         String logLevel) {
 
     private static final double PREFILL_TOKENS_PER_MILLISECOND = 80;
@@ -132,8 +132,8 @@
      *
      * @return the settings, empty without an API or without duties
      */
-    public Optional<CloudSettings> duties() {
-        return Optional.ofNullable(cloud).filter(CloudSettings::hasDuties);
+    public Optional<DutySettings> configuredDuties() {
+        return Optional.ofNullable(duties).filter(DutySettings::hasDuties);
     }
 
     private DrainSchedule drain() {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/LeaseKeeper.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/LeaseKeeper.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.UnaryOperator;
 
@@ -34,6 +35,7 @@
     private final AtomicReference<Lease> lease;
     private volatile LongSupplier progress = () -> 0;
     private volatile LongSupplier agreed = () -> 0;
+    private final Object callLock = new Object();
     private volatile boolean releaseWanted;
     private long era;
 
@@ -58,16 +60,31 @@
     }
 
     boolean isValid() {
-        return lease.get().isValid(clock.instant());
+        return !releaseWanted && lease.get().isValid(clock.instant());
     }
 
-    /** Returns how long this gateway may act as the holder, zero if it may not. */
-    Duration timeLeft() {
-        return lease.get().timeLeft(clock.instant());
+    /**
+     * Makes a call as the holder if this gateway holds the lease for some time to come. The lease is not given up during a call.
+     *
+     * @param minimum the time for which it has to hold the lease
+     * @param call makes the call with the token of the lease
+     * @return the result of the call, empty if it was not made
+     */
+    <T> Optional<T> callAsHolder(Duration minimum, Function<FencingToken, T> call) {
+        synchronized (callLock) {
+            Lease state = lease.get();
+            return releaseWanted || state.timeLeft(clock.instant()).compareTo(minimum) < 0
+                    ? Optional.empty()
+                    : Optional.of(call.apply(state.token()));
+        }
     }
 
-    FencingToken token() {
-        return lease.get().token();
+    /** Tells the other gateways how far the duty is done, without waiting for the next renewal. */
+    void announceProgress() {
+        Lease state = lease.get();
+        state.row()
+                .filter(row -> state.isValid(clock.instant()))
+                .ifPresent(row -> announce(row.withProgress(progress.getAsLong()), state.version()));
     }
 
     /** Returns how far the duty is done according to the row of the lease. */
@@ -111,11 +128,11 @@
     private LeaseStep nextStep() {
         Lease state = lease.get();
         if (releaseWanted) {
-            releaseWanted = false;
             Optional<LeaseStep.Write> release = state.release(progress.getAsLong());
             if (release.isPresent()) {
                 return release.get();
             }
+            releaseWanted = false;
         }
         return state.next(clock.instant(), progress.getAsLong(), takeoverDelay(), era);
     }
@@ -130,10 +147,14 @@
     private void write(LeaseStep.Write write) {
         Instant sentAt = clock.instant();
         if (write.row().released()) {
+            awaitEndOfCall();
             change(state -> state.unanswered(write.row(), sentAt, sentAt));
         }
         TableWriteResult result = platform.writeLease(duty, write.row(), write.expectedVersion());
-        if (result instanceof TableWriteResult.Written written) {
+        if (result instanceof TableWriteResult.Written written
+                && written.version().era() > era) {
+            followEra();
+        } else if (result instanceof TableWriteResult.Written written) {
             change(state -> state.written(write.row(), written.version().number(), sentAt));
             announce(write.row(), written.version().number());
         } else if (result instanceof TableWriteResult.Conflict) {
@@ -143,6 +164,14 @@
         }
     }
 
+    /** Waits until no call is under way. None begins after that, because the lease is to be given up. */
+    private void awaitEndOfCall() {
+        synchronized (callLock) {
+            releaseWanted = false;
+            change(Lease::withoutTenure);
+        }
+    }
+
     private void announce(LeaseRow row, long version) {
         peers.announceLease(new DutyUpdate(
                 duty,
@@ -155,8 +184,12 @@
     }
 
     private void change(UnaryOperator<Lease> transition) {
-        Lease before = lease.getAndUpdate(transition);
-        Lease after = lease.get();
+        AtomicReference<Lease> changed = new AtomicReference<>();
+        Lease before = lease.getAndUpdate(state -> {
+            changed.set(transition.apply(state));
+            return changed.get();
+        });
+        Lease after = changed.get();
         if (before.tenure().isPresent() != after.tenure().isPresent()) {
             log.info(
                     after.tenure().isPresent() ? "duty-taken" : "duty-lost",
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UsageCollector.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UsageCollector.java
@@ -27,7 +27,9 @@
     /** The windows whose counts are sent again, for peers that missed a message or have just started. */
     private static final int REPEATED_WINDOWS = 8;
 
-    private static final int MAX_WINDOWS = 120;
+    private static final int KEPT_WINDOWS = 6;
+
+    private static final int MAX_WINDOWS = 24;
 
     private final DutyHolder self;
     private final UsageWindows windows;
@@ -98,8 +100,12 @@
         return peers.with(window, self, own.getOrDefault(window, Map.of())).report(window);
     }
 
-    /** Drops the counts of windows whose reports are agreed on. */
-    synchronized void forgetThrough(long window) {
+    /**
+     * Drops the counts of windows whose reports are agreed on. The last ones are kept for a store that comes back from an older
+     * copy, without the report.
+     */
+    synchronized void forgetThrough(long agreed) {
+        long window = agreed - KEPT_WINDOWS;
         if (window > forgottenThrough) {
             forgottenThrough = window;
             peers = peers.withoutThrough(window);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UsageReporter.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UsageReporter.java
@@ -124,20 +124,25 @@
      */
     private ReportQueue send(ReportQueue present) {
         Optional<UsageReport> next = present.nextToSend();
-        if (next.isEmpty() || lease.timeLeft().compareTo(times.lease().dividedBy(2)) < 0) {
+        if (next.isEmpty()) {
             return present;
         }
         UsageReport report = next.get();
+        Instant startedAt = clock.instant();
+        Optional<DutyPlatform.CallResult> result = lease.callAsHolder(
+                times.lease().dividedBy(2), token -> platform.send(gateway, token, report, CALL_TIMEOUT));
+        if (result.isEmpty()) {
+            return present;
+        }
         boolean repeated = report.window() <= lastTried;
         lastTried = report.window();
-        Instant startedAt = clock.instant();
-        DutyPlatform.CallResult result = platform.send(gateway, lease.token(), report, CALL_TIMEOUT);
-        if (!result.accepted()) {
-            failed(report, startedAt, result.cause());
+        if (!result.get().accepted()) {
+            failed(report, startedAt, result.get().cause());
             return present;
         }
         failingSince = Optional.empty();
         sentThrough.accumulateAndGet(report.window(), Math::max);
+        lease.announceProgress();
         record(report, repeated);
         return present.withSent(report.window());
     }
--- a/gateway/src/test/java/org/sassafrastrail/gateway/CallerListenerTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/CallerListenerTest.java
@@ -77,12 +77,12 @@
     /** Guards against FAIR: a process that lagged before its listener started accepted all connections. */
     @Test
     void connectionWaitsWhileAcceptingIsDisabledBeforeStart() throws Exception {
-        listener.setNewConnections(NewConnections.LEAVE_WAITING);
+        listener.setAccepting(false);
         listener.start();
         try (Socket caller = callerWithRequest()) {
             assertThatThrownBy(() -> readResponse(caller, QUIET_MILLISECONDS))
                     .isInstanceOf(SocketTimeoutException.class);
-            listener.setNewConnections(NewConnections.ACCEPT);
+            listener.setAccepting(true);
             assertThat(readResponse(caller, TIMEOUT_MILLISECONDS)).contains("200 OK");
         }
     }
@@ -91,8 +91,8 @@
     void acceptingStaysOffAfterStop() throws Exception {
         listener.start();
         listener.stop();
-        listener.setNewConnections(NewConnections.LEAVE_WAITING);
-        listener.setNewConnections(NewConnections.ACCEPT);
+        listener.setAccepting(false);
+        listener.setAccepting(true);
         assertThatThrownBy(this::callerWithRequest).isInstanceOf(IOException.class);
     }
 }
--- a/gateway/src/test/java/org/sassafrastrail/gateway/SingletonDutiesTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/SingletonDutiesTest.java
@@ -44,7 +44,7 @@
     private final FakePlatform platform = new FakePlatform();
     private final DutyContext context = new DutyContext(
             SELF,
-            new CloudSettings("127.0.0.1:1", List.of("usage_report"), null, null, null, null),
+            new DutySettings("127.0.0.1:1", List.of("usage_report"), null, null, null, null),
             platform,
             new NoPeers(),
             clock,
