--- /dev/null
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/capacity/package-info.java
@@ -0,0 +1,2 @@
+/** Learns from responses how fast upstreams are, relative to the other upstreams of their target. */
+package org.sassafrastrail.gate.capacity;
