--- a/gate-core/src/main/java/org/sassafrastrail/gate/Attempt.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Attempt.java
@@ -9,6 +9,7 @@
  * @param upstream the upstream that the request was sent to
  * @param prefillTokens the estimated prompt tokens that the upstream has not cached and must prefill
  * @param pendingTokens the estimated tokens of other requests that the upstream prefills before
+ * @param runningBefore the number of other requests that the upstream was known to run
  * @param dispatchedAt when the request was sent to the upstream
  * @param prefilling whether the upstream has not started its response yet
  */
@@ -17,10 +18,11 @@
         Upstream upstream,
         long prefillTokens,
         long pendingTokens,
+        int runningBefore,
         Instant dispatchedAt,
         boolean prefilling) {
 
     Attempt responseStarted() {
-        return new Attempt(number, upstream, prefillTokens, pendingTokens, dispatchedAt, false);
+        return new Attempt(number, upstream, prefillTokens, pendingTokens, runningBefore, dispatchedAt, false);
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/AttemptHandler.java
@@ -25,10 +25,16 @@
                 .filter(call -> call.isRunning(event.attempt()))
                 .filter(call -> call.attempt().orElseThrow().prefilling());
         return running.map(call -> responseStarted(
-                        event.successful() ? CrashHandler.served(state, call, now) : state, call, event.load(), now))
+                        event.successful() ? successful(state, call, now) : state, call, event.load(), now))
                 .orElseGet(() -> Transition.to(state));
     }
 
+    /** Learns from a response that is no failure. A fast failure says nothing about the speed of the upstream. */
+    private static GatewayState successful(GatewayState state, Call call, Instant now) {
+        return CapacityHandler.responseStarted(
+                CrashHandler.served(state, call, now), call.attempt().orElseThrow(), now);
+    }
+
     private Transition<GatewayState, GatewayAction> responseStarted(
             GatewayState state, Call call, Optional<ReportedLoad> load, Instant now) {
         Attempt attempt = call.attempt().orElseThrow();
--- a/gate-core/src/main/java/org/sassafrastrail/gate/FleetView.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/FleetView.java
@@ -1,5 +1,6 @@
 package org.sassafrastrail.gate;
 
+import org.sassafrastrail.gate.capacity.LearnedCapacity;
 import org.sassafrastrail.gate.crash.CrashEvidence;
 import org.sassafrastrail.gate.limit.Permits;
 import org.sassafrastrail.gate.limit.RateLimits;
@@ -15,6 +16,7 @@
  * @param rateLimits the limits that upstreams named on their requests
  * @param permits the permits for upstreams with a limit
  * @param rotation whether this gateway is in the load balancer's rotation
+ * @param capacity what responses show of the speed of upstreams
  */
 record FleetView(
         Peers peers,
@@ -23,33 +25,38 @@
         DrainNotices drainNotices,
         RateLimits rateLimits,
         Permits permits,
-        Rotation rotation) {
+        Rotation rotation,
+        LearnedCapacity capacity) {
 
     FleetView with(Peers next) {
-        return new FleetView(next, shares, crashes, drainNotices, rateLimits, permits, rotation);
+        return new FleetView(next, shares, crashes, drainNotices, rateLimits, permits, rotation, capacity);
     }
 
     FleetView with(AccountShares next) {
-        return new FleetView(peers, next, crashes, drainNotices, rateLimits, permits, rotation);
+        return new FleetView(peers, next, crashes, drainNotices, rateLimits, permits, rotation, capacity);
     }
 
     FleetView with(CrashEvidence next) {
-        return new FleetView(peers, shares, next, drainNotices, rateLimits, permits, rotation);
+        return new FleetView(peers, shares, next, drainNotices, rateLimits, permits, rotation, capacity);
     }
 
     FleetView with(DrainNotices next) {
-        return new FleetView(peers, shares, crashes, next, rateLimits, permits, rotation);
+        return new FleetView(peers, shares, crashes, next, rateLimits, permits, rotation, capacity);
     }
 
     FleetView with(RateLimits next) {
-        return new FleetView(peers, shares, crashes, drainNotices, next, permits, rotation);
+        return new FleetView(peers, shares, crashes, drainNotices, next, permits, rotation, capacity);
     }
 
     FleetView with(Permits next) {
-        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, next, rotation);
+        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, next, rotation, capacity);
     }
 
     FleetView with(Rotation next) {
-        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, permits, next);
+        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, permits, next, capacity);
+    }
+
+    FleetView with(LearnedCapacity next) {
+        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, permits, rotation, next);
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
@@ -5,6 +5,9 @@
 import java.util.List;
 import java.util.Set;
 
+import org.sassafrastrail.gate.capacity.CapacityReport;
+import org.sassafrastrail.gate.capacity.UpstreamWork;
+import org.sassafrastrail.gate.capacity.WorkEstimate;
 import org.sassafrastrail.gate.crash.UpstreamIncarnation;
 import org.sassafrastrail.gate.limit.LimitReport;
 import org.sassafrastrail.gate.rotation.Rotation;
@@ -190,6 +193,21 @@
      */
     record ReportRotation(Rotation rotation) implements GatewayAction {}
 
+    /**
+     * Tell the other gateways what this gateway learned of the speed of upstreams.
+     *
+     * @param report what to tell
+     */
+    record ShareCapacity(CapacityReport report) implements GatewayAction {}
+
+    /**
+     * Log that an upstream was found to differ in speed from the others of its target, or no longer does.
+     *
+     * @param work the upstream and the kind of work
+     * @param estimate how long work takes there
+     */
+    record ReportSpeed(UpstreamWork work, WorkEstimate estimate) implements GatewayAction {}
+
     /** The graceful shutdown is complete, or its maximum time has passed: the process may exit. */
     record Drained() implements GatewayAction {}
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
@@ -32,7 +32,8 @@
         DrainNoticeHandler drainNotices = new DrainNoticeHandler();
         RateLimitHandler rateLimits = new RateLimitHandler(rateLimiter, calls, scheduler);
         RotationHandler rotation = new RotationHandler(new OverloadRotationPolicy());
-        TickHandler ticks = new TickHandler(limits, calls, crashes, drainNotices, rateLimits, scheduler);
+        CapacityHandler capacity = new CapacityHandler(limits);
+        TickHandler ticks = new TickHandler(limits, calls, crashes, drainNotices, rateLimits, capacity, scheduler);
         this.handlers = EventRouter.<GatewayState, GatewayEvent, GatewayAction>over(GatewayEvent.class)
                 .on(GatewayEvent.CallArrived.class, calls::callArrived)
                 .on(GatewayEvent.CallerDisconnected.class, calls::callerDisconnected)
@@ -57,6 +58,7 @@
                 .on(GatewayEvent.VersionRejected.class, versionMoves::versionRejected)
                 .on(GatewayEvent.LoadMeasured.class, rotation::loadMeasured)
                 .on(GatewayEvent.PeerRotationReceived.class, rotation::peerRotationReceived)
+                .on(GatewayEvent.PeerCapacityReceived.class, capacity::peerCapacityReceived)
                 .on(GatewayEvent.Ticked.class, ticks::ticked)
                 .on(GatewayEvent.StopRequested.class, ticks::stopRequested)
                 .complete();
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
@@ -7,6 +7,7 @@
 
 import org.pcollections.PMap;
 import org.pcollections.PSet;
+import org.sassafrastrail.gate.capacity.CapacityReport;
 import org.sassafrastrail.gate.crash.UpstreamIncarnation;
 import org.sassafrastrail.gate.limit.LimitReport;
 import org.sassafrastrail.gate.rotation.ProcessLoad;
@@ -194,6 +195,15 @@
      */
     record PeerRotationReceived(String peer, RotationReport report) implements GatewayEvent {}
 
+    /**
+     * Another gateway told what it learned of the speed of upstreams.
+     *
+     * @param peer the name of the other gateway
+     * @param incarnation the run of the other gateway, higher for a later one
+     * @param report what it told
+     */
+    record PeerCapacityReceived(String peer, long incarnation, CapacityReport report) implements GatewayEvent {}
+
     /** The periodic tick. */
     record Ticked() implements GatewayEvent {}
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -10,6 +10,7 @@
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 import org.pcollections.PSet;
+import org.sassafrastrail.gate.capacity.LearnedCapacity;
 import org.sassafrastrail.gate.crash.CrashEvidence;
 import org.sassafrastrail.gate.crash.UpstreamIncarnation;
 import org.sassafrastrail.gate.limit.Permits;
@@ -68,7 +69,8 @@
                         DrainNotices.NONE,
                         RateLimits.NONE,
                         Permits.NONE,
-                        Rotation.start(domain)),
+                        Rotation.start(domain),
+                        LearnedCapacity.NONE),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
                 UpstreamPauses.NONE,
@@ -147,6 +149,15 @@
         return fleet.rotation();
     }
 
+    /**
+     * Returns what responses show of the speed of upstreams.
+     *
+     * @return what was learned
+     */
+    public LearnedCapacity capacity() {
+        return fleet.capacity();
+    }
+
     /**
      * Returns which gateways of the failure domain read the tables of the store.
      *
@@ -280,6 +291,10 @@
         return next == rotation() ? this : with(fleet.with(next));
     }
 
+    GatewayState with(LearnedCapacity next) {
+        return next == capacity() ? this : with(fleet.with(next));
+    }
+
     GatewayState with(TargetName target, RetryBudget next) {
         return new GatewayState(
                 cluster, openCalls, fleet, retryBudgets.plus(target, next), versionTrials, pauses, stoppingSince);
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -282,6 +282,7 @@
                 choice.candidate().upstream().upstream(),
                 choice.prefillTokens(),
                 choice.candidate().pendingPrefillTokens(),
+                choice.candidate().running(),
                 now,
                 true);
         Call dispatched = call.dispatched(attempt);
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
@@ -14,6 +14,7 @@
     private final CrashHandler crashes;
     private final DrainNoticeHandler drainNotices;
     private final RateLimitHandler rateLimits;
+    private final CapacityHandler capacity;
     private final Scheduler scheduler;
 
     TickHandler(
@@ -22,12 +23,14 @@
             CrashHandler crashes,
             DrainNoticeHandler drainNotices,
             RateLimitHandler rateLimits,
+            CapacityHandler capacity,
             Scheduler scheduler) {
         this.limits = limits;
         this.calls = calls;
         this.crashes = crashes;
         this.drainNotices = drainNotices;
         this.rateLimits = rateLimits;
+        this.capacity = capacity;
         this.scheduler = scheduler;
     }
 
@@ -36,11 +39,13 @@
                 .with(state.drainNotices().withoutExpired(now))
                 .with(state.pauses().withoutEnded(now));
         return crashes.attribute(RateLimitHandler.withoutExpired(updated, now), now)
+                .and(next -> capacity.evaluate(next, now))
                 .and(next -> scheduler.dispatchAll(next, now))
                 .and(next -> calls.expire(next, now))
                 .and(VersionMoveHandler::rejectWorseVersions)
                 .and(next -> endEjections(next, now))
                 .and(next -> rateLimits.share(next, now))
+                .and(next -> capacity.share(next, now))
                 .and(next -> reportToPeers(next, now))
                 .and(next -> checkDrained(next, now));
     }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
@@ -71,6 +71,10 @@
             peers.shareRateLimits(share.reports());
         } else if (action instanceof GatewayAction.ShareRotation share) {
             peers.shareRotation(share.report());
+        } else if (action instanceof GatewayAction.ShareCapacity share) {
+            peers.shareCapacity(share.report());
+        } else if (action instanceof GatewayAction.ReportSpeed report) {
+            recordSpeed(report);
         } else if (action instanceof GatewayAction.ReportRotation report) {
             recordRotation(report.rotation());
         } else if (action instanceof GatewayAction.RequestPermit request) {
@@ -166,6 +170,18 @@
                 LogField.of("connections", rotation.load().connections()));
     }
 
+    private void recordSpeed(GatewayAction.ReportSpeed report) {
+        boolean differs = report.estimate().differs();
+        metrics.count("upstream-speed." + (differs ? "differs" : "usual"), 1);
+        log.info(
+                differs ? "upstream-speed-differs" : "upstream-speed-usual",
+                LogField.of("upstream", report.work().upstream().upstream()),
+                LogField.of("work", report.work().kind()),
+                LogField.of(
+                        "relative-time",
+                        String.format(Locale.ROOT, "%.2f", report.estimate().relativeTime())));
+    }
+
     private void stepReached(long number, AccountActivity.Step step) {
         callers.call(number)
                 .map(CallerExchange::description)
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -20,8 +20,10 @@
 import org.sassafrastrail.gate.GatewayEvent;
 import org.sassafrastrail.gate.GatewayReport;
 import org.sassafrastrail.gate.TableWatchers;
+import org.sassafrastrail.gate.capacity.CapacityReport;
 import org.sassafrastrail.gate.limit.LimitReport;
 import org.sassafrastrail.gate.rotation.RotationReport;
+import org.sassafrastrail.messages.CapacityUpdate;
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.CrashUpdate;
 import org.sassafrastrail.messages.DrainUpdate;
@@ -219,6 +221,11 @@
         sendToAll(RotationUpdateMapper.toMessage(report));
     }
 
+    @Override
+    public void shareCapacity(CapacityReport report) {
+        sendToAll(CapacityUpdateMapper.toMessage(report));
+    }
+
     @Override
     public void requestPermit(GatewayAction.RequestPermit request) {
         sendTo(request.gateway(), RateLimitMapper.toMessage(request));
@@ -259,6 +266,11 @@
         } else if (message instanceof RotationUpdate update) {
             events.accept(new GatewayEvent.PeerRotationReceived(
                     link.peer().node().value(), RotationUpdateMapper.fromMessage(update)));
+        } else if (message instanceof CapacityUpdate update) {
+            events.accept(new GatewayEvent.PeerCapacityReceived(
+                    link.peer().node().value(),
+                    link.peer().incarnation().value(),
+                    CapacityUpdateMapper.fromMessage(update)));
         } else if (message instanceof PermitRequest request && RateLimitMapper.isValid(request.upstream())) {
             events.accept(new GatewayEvent.PermitRequested(
                     link.peer().node().value(), RateLimitMapper.fromMessage(request.upstream())));
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerNotifier.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerNotifier.java
@@ -6,6 +6,7 @@
 import org.sassafrastrail.gate.DrainReport;
 import org.sassafrastrail.gate.GatewayAction;
 import org.sassafrastrail.gate.GatewayReport;
+import org.sassafrastrail.gate.capacity.CapacityReport;
 import org.sassafrastrail.gate.limit.LimitReport;
 import org.sassafrastrail.gate.rotation.RotationReport;
 
@@ -27,6 +28,9 @@
     /** Tells all peers this gateway's place in the load balancer's rotation. */
     void shareRotation(RotationReport report);
 
+    /** Tells all peers what this gateway learned of the speed of upstreams. */
+    void shareCapacity(CapacityReport report);
+
     /** Asks a peer for a permit. */
     void requestPermit(GatewayAction.RequestPermit request);
 
--- a/messages/src/main/java/org/sassafrastrail/messages/Message.java
+++ b/messages/src/main/java/org/sassafrastrail/messages/Message.java
@@ -23,4 +23,5 @@
                 PermitRequest,
                 PermitAnswer,
                 RotationUpdate,
-                TableUpdate {}
+                TableUpdate,
+                CapacityUpdate {}
--- a/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
@@ -5,6 +5,7 @@
 
 import org.sassafrastrail.messages.AttemptQuery;
 import org.sassafrastrail.messages.AttemptReport;
+import org.sassafrastrail.messages.CapacityUpdate;
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.CrashUpdate;
 import org.sassafrastrail.messages.Demand;
@@ -50,7 +51,8 @@
     PERMIT_REQUEST(19, PermitRequest.class),
     PERMIT_ANSWER(20, PermitAnswer.class),
     ROTATION_UPDATE(21, RotationUpdate.class),
-    TABLE_UPDATE(22, TableUpdate.class);
+    TABLE_UPDATE(22, TableUpdate.class),
+    CAPACITY_UPDATE(23, CapacityUpdate.class);
 
     private final byte number;
     private final Class<? extends Message> type;
--- a/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessagePackCodec.java
@@ -31,6 +31,7 @@
 import org.sassafrastrail.messages.UpstreamCrash;
 import org.sassafrastrail.messages.UpstreamEndpoint;
 import org.sassafrastrail.messages.UpstreamLoad;
+import org.sassafrastrail.messages.UpstreamResponses;
 import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.AttemptIdentifier;
 import org.sassafrastrail.model.FailureDomainName;
@@ -77,6 +78,7 @@
             RemovedRow.class,
             RuleDocument.class,
             SuspectPart.class,
+            UpstreamResponses.class,
             Suspension.class,
             TrafficShare.class,
             UpstreamCrash.class,
--- a/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
+++ b/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
@@ -22,6 +22,7 @@
 import org.sassafrastrail.messages.AccountUsage;
 import org.sassafrastrail.messages.AttemptQuery;
 import org.sassafrastrail.messages.AttemptReport;
+import org.sassafrastrail.messages.CapacityUpdate;
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.CrashUpdate;
 import org.sassafrastrail.messages.Demand;
@@ -53,6 +54,7 @@
 import org.sassafrastrail.messages.UpstreamCrash;
 import org.sassafrastrail.messages.UpstreamEndpoint;
 import org.sassafrastrail.messages.UpstreamLoad;
+import org.sassafrastrail.messages.UpstreamResponses;
 import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.AttemptIdentifier;
 import org.sassafrastrail.model.FailureDomainName;
@@ -107,6 +109,10 @@
                 new PermitRequest(new LimitedUpstream("i-1", 1_770_000_000_000L, OptionalDouble.of(0.5), 40)),
                 new PermitAnswer("i-1", 1_770_000_000_000L, false, 85),
                 new RotationUpdate(new FailureDomainName("north"), false, 0.25, 430),
+                new CapacityUpdate(
+                        7,
+                        List.of(new UpstreamResponses(
+                                "i-1", 1_770_000_000_000L, true, 3, 2, 4e4, 6e8, 9e2, 3e5, 1.5e7))),
                 new CopyRequest("servers", 17),
                 new TableCopy("servers", 18, List.of()),
                 new TableUpdate("servers", 17, 18, List.of(), List.of(new RemovedRow("i-1", 18))),
