--- a/gate-core/src/main/java/org/sassafrastrail/gate/LeastRequestPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/LeastRequestPlacement.java
@@ -4,7 +4,10 @@
 import java.util.List;
 import java.util.Optional;
 
-/** Chooses the upstream with the fewest running requests among those whose slots and short queue are not full. */
+/**
+ * Chooses the upstream with the shortest expected time among those whose slots and short queue are not full: the one with the
+ * fewest running requests, weighted by how long requests take there.
+ */
 final class LeastRequestPlacement implements Placement {
 
     /**
@@ -17,7 +20,7 @@
     public Optional<Choice> choose(Call call, List<Candidate> candidates, CapacityAllowance allowance) {
         return candidates.stream()
                 .filter(candidate -> hasCapacity(candidate, call, allowance))
-                .min(Comparator.comparingInt(Candidate::running)
+                .min(Comparator.comparingDouble(Candidate::relativeServiceTime)
                         .thenComparingLong(candidate -> StableHash.of(
                                 candidate.identifier() + call.description().request())))
                 .map(candidate -> new Choice(candidate, 0));
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.sassafrastrail.gate.capacity.WorkEstimate;
+
 /** Chooses the upstream for a request among the eligible ones. */
 interface Placement {
 
@@ -20,8 +22,9 @@
      * @param upstream its state at this gateway
      * @param peerLoad the load that the other gateways put on it
      * @param unknownRequests the number of its requests that no gateway is known to have sent
+     * @param serviceTime how long requests to a plain service take there, as the gateways learned it
      */
-    record Candidate(UpstreamState upstream, GatewayLoad peerLoad, int unknownRequests) {
+    record Candidate(UpstreamState upstream, GatewayLoad peerLoad, int unknownRequests, WorkEstimate serviceTime) {
 
         UpstreamIdentifier identifier() {
             return upstream.upstream().identifier();
@@ -36,6 +39,11 @@
             return upstream.prefillRate().millisecondsFor(tokens);
         }
 
+        /** Returns the expected time of one more request to a plain service, in requests of a usual upstream. */
+        double relativeServiceTime() {
+            return (running() + 1) * serviceTime.relativeTime();
+        }
+
         long pendingPrefillTokens() {
             return upstream.pendingPrefillTokens() + peerLoad.pendingPrefillTokens();
         }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -10,6 +10,9 @@
 import java.util.stream.Stream;
 
 import org.sassafrastrail.decision.Transition;
+import org.sassafrastrail.gate.capacity.UpstreamWork;
+import org.sassafrastrail.gate.capacity.WorkEstimate;
+import org.sassafrastrail.gate.capacity.WorkKind;
 import org.sassafrastrail.gate.limit.NamedLimit;
 import org.sassafrastrail.model.TargetName;
 
@@ -156,10 +159,15 @@
                 .map(upstream -> new Placement.Candidate(
                         upstream,
                         state.peers().loadAt(upstream.upstream().identifier()),
-                        upstream.unknownLoad().requestsAt(now)))
+                        upstream.unknownLoad().requestsAt(now),
+                        serviceTime(state, upstream.upstream())))
                 .toList());
     }
 
+    private static WorkEstimate serviceTime(GatewayState state, Upstream upstream) {
+        return state.capacity().estimate(new UpstreamWork(upstream.incarnation(), WorkKind.SERVICE));
+    }
+
     private boolean isEligible(GatewayState state, UpstreamState upstream, TargetName target, Instant now) {
         return isAvailable(state, upstream, target, now)
                 && state.pauses().allows(upstream, state.peers().gateways(), now)
