--- a/gate-core/src/main/java/org/sassafrastrail/gate/CacheAffinityPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CacheAffinityPlacement.java
@@ -22,9 +22,13 @@
 
     private static final Comparator<Hashed> BY_HASH = Comparator.comparingLong(Hashed::hash);
 
-    /** Breaks ties by hash, so that sessions spread over the upstreams. */
-    private static final Comparator<Scored> LOWEST_SCORE =
-            Comparator.comparingDouble(Scored::score).thenComparingLong(Scored::hash);
+    /**
+     * Breaks ties in favour of the own failure domain, because bytes between failure domains cost, and then by hash, so that
+     * sessions spread over the upstreams.
+     */
+    private static final Comparator<Scored> LOWEST_SCORE = Comparator.comparingDouble(Scored::score)
+            .thenComparing(scored -> scored.choice().candidate().inOwnDomain(), Comparator.reverseOrder())
+            .thenComparingLong(Scored::hash);
 
     private final GatewayLimits limits;
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/LeastRequestPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/LeastRequestPlacement.java
@@ -6,7 +6,8 @@
 
 /**
  * Chooses the upstream with the shortest expected time among those whose slots and short queue are not full: the one with the
- * fewest running requests, weighted by how long requests take there.
+ * fewest running requests, weighted by how long requests take there. At equal times, one in the own failure domain is chosen, because bytes between
+ * failure domains cost.
  */
 final class LeastRequestPlacement implements Placement {
 
@@ -21,6 +22,7 @@
         return candidates.stream()
                 .filter(candidate -> hasCapacity(candidate, call, allowance))
                 .min(Comparator.comparingDouble(Candidate::relativeServiceTime)
+                        .thenComparing(Candidate::inOwnDomain, Comparator.reverseOrder())
                         .thenComparingLong(candidate -> StableHash.of(
                                 candidate.identifier() + call.description().request())))
                 .map(candidate -> new Choice(candidate, 0));
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Placement.java
@@ -23,8 +23,14 @@
      * @param peerLoad the load that the other gateways put on it
      * @param unknownRequests the number of its requests that no gateway is known to have sent
      * @param serviceTime how long requests to a plain service take there, as the gateways learned it
+     * @param inOwnDomain whether it is in the failure domain of this gateway
      */
-    record Candidate(UpstreamState upstream, GatewayLoad peerLoad, int unknownRequests, WorkEstimate serviceTime) {
+    record Candidate(
+            UpstreamState upstream,
+            GatewayLoad peerLoad,
+            int unknownRequests,
+            WorkEstimate serviceTime,
+            boolean inOwnDomain) {
 
         UpstreamIdentifier identifier() {
             return upstream.upstream().identifier();
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -160,7 +160,8 @@
                         upstream,
                         state.peers().loadAt(upstream.upstream().identifier()),
                         upstream.unknownLoad().requestsAt(now),
-                        serviceTime(state, upstream.upstream())))
+                        serviceTime(state, upstream.upstream()),
+                        isInOwnDomain(state, upstream.upstream())))
                 .toList());
     }
 
@@ -168,6 +169,10 @@
         return state.capacity().estimate(new UpstreamWork(upstream.incarnation(), WorkKind.SERVICE));
     }
 
+    private static boolean isInOwnDomain(GatewayState state, Upstream upstream) {
+        return state.rotation().domain().filter(upstream.domain()::equals).isPresent();
+    }
+
     private boolean isEligible(GatewayState state, UpstreamState upstream, TargetName target, Instant now) {
         return isAvailable(state, upstream, target, now)
                 && state.pauses().allows(upstream, state.peers().gateways(), now)
--- a/gate-core/src/test/java/org/sassafrastrail/gate/ExpectedTimePlacementTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/ExpectedTimePlacementTest.java
@@ -15,6 +15,8 @@
 import org.sassafrastrail.gate.capacity.UpstreamWork;
 import org.sassafrastrail.gate.capacity.WorkKind;
 import org.sassafrastrail.gate.crash.UpstreamIncarnation;
+import org.sassafrastrail.gate.rotation.Rotation;
+import org.sassafrastrail.model.FailureDomainName;
 import org.sassafrastrail.model.TargetName;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -102,4 +104,14 @@
         gateway.register(GatewayDriver.restarted(GatewayDriver.upstream("one", GatewayDriver.SERVICE, 64)));
         assertThat(placedOn("one", PLAIN_ROUTE)).isEqualTo(20);
     }
+
+    /** The own failure domain is preferred at equal times only: the second request goes elsewhere. */
+    @Test
+    void ownFailureDomainIsPreferredAtEqualTimes() {
+        register(gateway, GatewayDriver.SERVICE);
+        gateway.change(state -> state.with(Rotation.start(Optional.of(new FailureDomainName("domain-four")))));
+        assertThat(placedOn(gateway, PLAIN_ROUTE, 5).toList())
+                .startsWith("four")
+                .doesNotHaveDuplicates();
+    }
 }
