--- a/gate-core/src/main/java/org/sassafrastrail/gate/capacity/TargetEstimates.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/capacity/TargetEstimates.java
@@ -35,12 +35,9 @@
         double median =
                 median(ratios.values().stream().map(TimeRatio::value).sorted().toList());
         return ratios.entrySet().stream()
-                .collect(Collectors.toMap(Map.Entry::getKey, ratio -> estimate(ratio.getValue(), median, line)));
-    }
-
-    private static WorkEstimate estimate(TimeRatio ratio, double median, TimeLine line) {
-        double relativeTime = ratio.significantRatioTo(median);
-        return new WorkEstimate(relativeTime, line.slope() * median * relativeTime);
+                .collect(Collectors.toMap(
+                        Map.Entry::getKey,
+                        ratio -> new WorkEstimate(ratio.getValue().significantRatioTo(median))));
     }
 
     private static double median(List<Double> sorted) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/capacity/WorkEstimate.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/capacity/WorkEstimate.java
@@ -5,12 +5,11 @@
  *
  * @param relativeTime the time as a multiple of that at the other upstreams of the target, exactly 1 unless it differs by more
  *     than the accuracy of what was learned
- * @param millisecondsPerUnit the time for each unit of work at this upstream
  */
-public record WorkEstimate(double relativeTime, double millisecondsPerUnit) {
+public record WorkEstimate(double relativeTime) {
 
     /** The estimate for an upstream of which nothing was learned. */
-    public static final WorkEstimate USUAL = new WorkEstimate(1, 0);
+    public static final WorkEstimate USUAL = new WorkEstimate(1);
 
     /**
      * Returns whether the upstream is known to differ from the others.
