--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -22,8 +22,10 @@
 import org.sassafrastrail.gate.GatewayEvent;
 import org.sassafrastrail.gate.GatewayReport;
 import org.sassafrastrail.gate.TableWatchers;
+import org.sassafrastrail.gate.capacity.CapacityReport;
 import org.sassafrastrail.gate.limit.LimitReport;
 import org.sassafrastrail.gate.rotation.RotationReport;
+import org.sassafrastrail.messages.CapacityUpdate;
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.CrashUpdate;
 import org.sassafrastrail.messages.DrainUpdate;
@@ -224,6 +226,11 @@
         sendToAll(RotationUpdateMapper.toMessage(report));
     }
 
+    @Override
+    public void shareCapacity(CapacityReport report) {
+        sendToAll(CapacityUpdateMapper.toMessage(report));
+    }
+
     @Override
     public void requestPermit(GatewayAction.RequestPermit request) {
         sendTo(request.gateway(), RateLimitMapper.toMessage(request));
@@ -284,6 +291,11 @@
         } else if (message instanceof RotationUpdate update) {
             events.accept(new GatewayEvent.PeerRotationReceived(
                     link.peer().node().value(), RotationUpdateMapper.fromMessage(update)));
+        } else if (message instanceof CapacityUpdate update) {
+            events.accept(new GatewayEvent.PeerCapacityReceived(
+                    link.peer().node().value(),
+                    link.peer().incarnation().value(),
+                    CapacityUpdateMapper.fromMessage(update)));
         } else if (message instanceof PermitRequest request && RateLimitMapper.isValid(request.upstream())) {
             events.accept(new GatewayEvent.PermitRequested(
                     link.peer().node().value(), RateLimitMapper.fromMessage(request.upstream())));
--- a/messages/src/main/java/org/sassafrastrail/messages/Message.java
+++ b/messages/src/main/java/org/sassafrastrail/messages/Message.java
@@ -25,4 +25,5 @@
                 RotationUpdate,
                 TableUpdate,
                 UsageUpdate,
-                DutyUpdate {}
+                DutyUpdate,
+                CapacityUpdate {}
--- a/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
@@ -5,6 +5,7 @@
 
 import org.sassafrastrail.messages.AttemptQuery;
 import org.sassafrastrail.messages.AttemptReport;
+import org.sassafrastrail.messages.CapacityUpdate;
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.CrashUpdate;
 import org.sassafrastrail.messages.Demand;
@@ -53,6 +54,7 @@
     PERMIT_ANSWER(20, PermitAnswer.class),
     ROTATION_UPDATE(21, RotationUpdate.class),
     TABLE_UPDATE(22, TableUpdate.class),
+    CAPACITY_UPDATE(23, CapacityUpdate.class),
     USAGE_UPDATE(30, UsageUpdate.class),
     DUTY_UPDATE(31, DutyUpdate.class);
 
--- a/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
+++ b/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
@@ -23,6 +23,7 @@
 import org.sassafrastrail.messages.AccountUsage;
 import org.sassafrastrail.messages.AttemptQuery;
 import org.sassafrastrail.messages.AttemptReport;
+import org.sassafrastrail.messages.CapacityUpdate;
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.CrashUpdate;
 import org.sassafrastrail.messages.Demand;
@@ -55,6 +56,7 @@
 import org.sassafrastrail.messages.UpstreamCrash;
 import org.sassafrastrail.messages.UpstreamEndpoint;
 import org.sassafrastrail.messages.UpstreamLoad;
+import org.sassafrastrail.messages.UpstreamResponses;
 import org.sassafrastrail.messages.UsageUpdate;
 import org.sassafrastrail.messages.WindowUsage;
 import org.sassafrastrail.model.AccountName;
@@ -118,6 +120,10 @@
                 new CopyRequest("servers", 17, 2),
                 new TableCopy("servers", 18, List.of(), 2),
                 new TableUpdate("servers", 17, 18, List.of(), List.of(new RemovedRow("i-1", 18)), 2),
+                new CapacityUpdate(
+                        7,
+                        List.of(new UpstreamResponses(
+                                "i-1", 1_770_000_000_000L, true, 3, 2, 4e4, 6e8, 9e2, 3e5, 1.5e7))),
                 new Demand(List.of(new AccountDemand(new AccountName("kitchen"), 3, 100, 20))),
                 new GrantOffer(GRANT, new AccountName("kitchen"), 1000),
                 new GrantReturn(GRANT, GrantReturnReason.NO_DEMAND),
