--- a/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedFleet.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/SimulatedFleet.java
@@ -106,6 +106,7 @@
     private final Set<Integer> down = new HashSet<>();
     private final Set<Integer> unlinked = new HashSet<>();
     private double reportMilliseconds = LINK_MILLISECONDS;
+    private double lostReports;
     private double now;
     private long sequence;
     private long nextNumber;
@@ -138,6 +139,11 @@
         reportMilliseconds = milliseconds;
     }
 
+    /** Sets the share of the reports between gateways that are lost from now on. */
+    void setLostReports(double share) {
+        lostReports = share;
+    }
+
     /** Cuts the links of a gateway to all others for a while; callers and engines still reach it. */
     void cutLinks(int gateway, double fromSecond, double untilSecond) {
         schedule(fromSecond * MILLISECONDS, () -> {
@@ -285,10 +291,15 @@
         if (!unlinked.contains(gateway)) {
             peersOf(gateway)
                     .filter(peer -> !unlinked.contains(peer))
+                    .filter(peer -> !isLost(event))
                     .forEach(peer -> schedule(now + milliseconds, () -> handle(peer, event)));
         }
     }
 
+    private boolean isLost(GatewayEvent event) {
+        return lostReports > 0 && event instanceof GatewayEvent.PeerReportReceived && random.nextDouble() < lostReports;
+    }
+
     private void run(int gateway, GatewayAction.Dispatch dispatch) {
         SimulatedEngine engine = engines.get(dispatch.upstream().identifier().value());
         SimulatedEngine.Run run = new SimulatedEngine.Run(gateway, dispatch.call(), dispatch.attempt());
