Hand connections over only while overloaded, and once the load balancer has noticed

Supposed, not traced: connections were closed before two checks of readiness had failed, so that callers came back to the same gateway, and all of them, so that one busy account moved from one small gateway to the next. Change: hand-over begins 2.5 s after a gateway left the rotation and ends with the overload.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/rotation/Rotation.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/rotation/Rotation.java
@@ -50,6 +50,12 @@
     /** The time over which a gateway that is out of rotation hands its surplus connections over. */
     private static final Duration HAND_OVER_TIME = Duration.ofSeconds(2);
 
+    /** Before two checks of the load balancer have failed, callers whose connections are closed would come back. */
+    private static final Duration HAND_OVER_DELAY = Duration.ofMillis(2_500);
+
+    /** Below this share of the recent time, a gateway can serve the connections that it has left. */
+    private static final double OVERLOAD_SHARE_TO_HAND_OVER = 0.05;
+
     /**
      * The report of a peer.
      *
@@ -105,10 +111,13 @@
      * Returns the time from one connection that is handed over to the next.
      *
      * @param now the time
-     * @return the time, empty while this gateway is in rotation, has no more connections than its peers or knows of none in rotation
+     * @return the time, empty while no connection is to be handed over: in rotation, before the load balancer has noticed, without
+     *     overload, with no more connections than the peers have, or without a peer in rotation
      */
     public Optional<Duration> handOverInterval(Instant now) {
-        if (inRotation) {
+        if (inRotation
+                || now.isBefore(changedAt.plus(HAND_OVER_DELAY))
+                || overload.value() <= OVERLOAD_SHARE_TO_HAND_OVER) {
             return Optional.empty();
         }
         OptionalDouble mean = freshPeers(now)
