Let LogQueueTest add up the lines that say how many were dropped

Cause: the test waited for one line with the whole number. The log queue was right. Change: the numbers of all such lines have to add up to the drops, no more and no less.

--- a/runtime/src/test/java/org/sassafrastrail/runtime/LogQueueTest.java
+++ b/runtime/src/test/java/org/sassafrastrail/runtime/LogQueueTest.java
@@ -8,6 +8,7 @@
 import java.util.logging.Formatter;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
+import java.util.regex.Pattern;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
@@ -20,6 +21,7 @@
 
     private static final int ROOM = 20;
     private static final int RESERVE = 10;
+    private static final Pattern DROPPED_LINES = Pattern.compile("event=log-lines-dropped count=([0-9]+)\n");
 
     private final LogQueue queue = new LogQueue(ROOM, RESERVE, Duration.ofMillis(1));
 
@@ -54,21 +56,31 @@
         assertThat(queue.drops()).isZero();
     }
 
-    /** An output that nobody reads at first: all threads go on, and a line later says what is missing. */
+    /** An output that nobody reads at first: all threads go on, and lines later say what is missing. */
     @Test
-    void oneLineSaysHowManyWereDropped() throws IOException {
+    void linesSayHowManyWereDropped() throws IOException {
         PipedOutputStream output = new PipedOutputStream();
         PipedInputStream reader = new PipedInputStream(output, 1);
         QueuedLogHandler handler = QueuedLogHandler.start(queue, output, new MessageFormatter());
         IntStream.range(0, 100).forEach(number -> handler.publish(new LogRecord(Level.INFO, "line")));
         assertThat(handler.drops()).isPositive();
         StringBuilder read = new StringBuilder();
-        while (!read.toString().contains("event=log-lines-dropped count=" + handler.drops() + "\n")) {
+        while (reportedDrops(read.toString()) < handler.drops()) {
             read.append((char) reader.read());
         }
+        assertThat(reportedDrops(read.toString())).isEqualTo(handler.drops());
         assertThat(read.toString().lines().filter(line -> line.equals("line"))).hasSize((int) (100 - handler.drops()));
     }
 
+    /** Adds up what complete lines say; there are two if the writer took lines while others were being dropped. */
+    private static long reportedDrops(String output) {
+        return DROPPED_LINES
+                .matcher(output)
+                .results()
+                .mapToLong(line -> Long.parseLong(line.group(1)))
+                .sum();
+    }
+
     /** Formats a record as its message alone. */
     private static final class MessageFormatter extends Formatter {
 
