--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
@@ -6,7 +6,7 @@
 import org.sassafrastrail.decision.EventRouter;
 import org.sassafrastrail.decision.Transition;
 import org.sassafrastrail.gate.crash.RecurringPartAttribution;
-import org.sassafrastrail.gate.rotation.OverloadRotationPolicy;
+import org.sassafrastrail.gate.rotation.PermanentRotationPolicy;
 
 /** The decision core of a gateway: routing, admission, scheduling, placement, retries and upstream health. */
 public final class GatewayCore implements DecisionCore<GatewayState, GatewayEvent, GatewayAction> {
@@ -31,7 +31,7 @@
         VersionMoveHandler versionMoves = new VersionMoveHandler();
         DrainNoticeHandler drainNotices = new DrainNoticeHandler();
         RateLimitHandler rateLimits = new RateLimitHandler(rateLimiter, calls, scheduler);
-        RotationHandler rotation = new RotationHandler(new OverloadRotationPolicy());
+        RotationHandler rotation = new RotationHandler(new PermanentRotationPolicy());
         CapacityHandler capacity = new CapacityHandler(limits);
         TickHandler ticks = new TickHandler(limits, calls, crashes, drainNotices, rateLimits, capacity, scheduler);
         this.handlers = EventRouter.<GatewayState, GatewayEvent, GatewayAction>over(GatewayEvent.class)
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -20,7 +20,6 @@
 import org.sassafrastrail.gate.GatewayEvent;
 import org.sassafrastrail.gate.GatewayState;
 import org.sassafrastrail.gate.rotation.ProcessLoad;
-import org.sassafrastrail.gate.rotation.Rotation;
 import org.sassafrastrail.http.JsonResponses;
 import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.Incarnation;
@@ -166,13 +165,9 @@
         exchange.endExchange();
     }
 
-    /**
-     * A gateway that is out of rotation is not ready, so that it serves the callers that it has and gets no new ones. Without
-     * another gateway in its failure domain, it is not ready while it is overloaded.
-     */
+    /** An overloaded gateway is not ready either, so that it serves the callers that it has and gets no new ones. */
     private boolean ready() {
-        Rotation rotation = state().rotation();
-        return state().ready() && (rotation.hasAlternatives() ? rotation.inRotation() : admission.isCaughtUp());
+        return state().ready() && state().rotation().inRotation() && admission.isCaughtUp();
     }
 
     private void requestBegan(AccountName account) {
