--- a/application/src/main/java/org/sassafrastrail/application/PlatformGatewayFactory.java
+++ b/application/src/main/java/org/sassafrastrail/application/PlatformGatewayFactory.java
@@ -34,7 +34,7 @@
                         settings,
                         new PlatformHeaders(),
                         new PlatformClusterStateWatcher(store, endpoint, settings.node(), monotonic),
-                        settings.configuredDuties().map(duties -> PlatformDuties.create(store, endpoint, duties)),
+                        settings.configuredDuties().flatMap(duties -> PlatformDuties.create(store, endpoint, duties)),
                         monotonic,
                         clock)));
     }
--- a/duty-core/src/test/java/org/sassafrastrail/duty/SimulatedHolders.java
+++ b/duty-core/src/test/java/org/sassafrastrail/duty/SimulatedHolders.java
@@ -41,7 +41,7 @@
         seenEras = new long[gateways];
         followedEras = new long[gateways];
         delays = names.stream()
-                .map(name -> TakeoverOrder.delay("usage_report", name, names))
+                .map(name -> TakeoverOrder.delay("account-usage", name, names))
                 .toList();
         names.forEach(name -> leases.add(Lease.unknown(new DutyHolder(name, 1), TIMES, now)));
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/CapacityHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CapacityHandler.java
@@ -24,32 +24,31 @@
         this.limits = limits;
     }
 
+    Transition<GatewayState, GatewayAction> lagMeasured(
+            GatewayState state, GatewayEvent.LagMeasured event, Instant now) {
+        return Transition.to(state.with(state.capacity().withLag(event.lag())));
+    }
+
     /**
      * Learns from a response of a plain service, unless it is cold or this process lags, which says nothing about later. Engines are
      * not ranked by what was learned, so their responses are left aside.
      */
     static GatewayState responseStarted(GatewayState state, Attempt attempt, Instant now) {
-        boolean lagging = state.rotation().load().lag().compareTo(MAX_LAG) > 0;
+        boolean lagging = state.capacity().lag().compareTo(MAX_LAG) > 0;
         return state.upstreamOf(attempt)
-                .filter(upstream -> kind(attempt) == WorkKind.SERVICE && !upstream.isCold(now) && !lagging)
+                .filter(upstream -> !isSentToEngine(attempt) && !upstream.isCold(now) && !lagging)
                 .map(upstream -> state.with(state.capacity()
                         .withResponse(
-                                new UpstreamWork(attempt.upstream().incarnation(), kind(attempt)),
-                                work(attempt),
+                                new UpstreamWork(attempt.upstream().incarnation(), WorkKind.SERVICE),
+                                attempt.runningBefore(),
                                 Duration.between(attempt.dispatchedAt(), now),
                                 now)))
                 .orElse(state);
     }
 
     /** Only requests to engines have tokens to prefill. */
-    private static WorkKind kind(Attempt attempt) {
-        return attempt.prefillTokens() > 0 ? WorkKind.PREFILL : WorkKind.SERVICE;
-    }
-
-    private static double work(Attempt attempt) {
-        return kind(attempt) == WorkKind.PREFILL
-                ? attempt.pendingTokens() + attempt.prefillTokens()
-                : attempt.runningBefore();
+    private static boolean isSentToEngine(Attempt attempt) {
+        return attempt.prefillTokens() > 0;
     }
 
     Transition<GatewayState, GatewayAction> peerCapacityReceived(
--- a/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/ClusterStateHandler.java
@@ -141,7 +141,7 @@
                 .with(state.crashes().asUnshared())
                 .with(state.drainNotices().asUnshared())
                 .with(state.rateLimits().asUnshared())
-                .with(state.rotation().asUnshared())
+                .with(state.domains().withShared(false))
                 .with(state.permits().reopened()));
     }
 
@@ -156,7 +156,7 @@
         Peers remaining = state.peers().withoutPeer(event.peer());
         return Transition.to(state.with(remaining)
                 .with(state.shares().withoutIdleReports(remaining.reports().keySet(), now))
-                .with(state.rotation().withoutPeer(event.peer()))
+                .with(state.domains().without(event.peer()))
                 .with(state.permits().reopened()));
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/FleetView.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/FleetView.java
@@ -4,7 +4,6 @@
 import org.sassafrastrail.gate.crash.CrashEvidence;
 import org.sassafrastrail.gate.limit.Permits;
 import org.sassafrastrail.gate.limit.RateLimits;
-import org.sassafrastrail.gate.rotation.Rotation;
 
 /**
  * What a gateway knows together with the other gateways.
@@ -15,7 +14,7 @@
  * @param drainNotices the upstreams that said that they are draining
  * @param rateLimits the limits that upstreams named on their requests
  * @param permits the permits for upstreams with a limit
- * @param rotation whether this gateway is in the load balancer's rotation
+ * @param domains the failure domains of the gateways
  * @param capacity what responses show of the speed of upstreams
  */
 record FleetView(
@@ -25,38 +24,38 @@
         DrainNotices drainNotices,
         RateLimits rateLimits,
         Permits permits,
-        Rotation rotation,
+        GatewayDomains domains,
         LearnedCapacity capacity) {
 
     FleetView with(Peers next) {
-        return new FleetView(next, shares, crashes, drainNotices, rateLimits, permits, rotation, capacity);
+        return new FleetView(next, shares, crashes, drainNotices, rateLimits, permits, domains, capacity);
     }
 
     FleetView with(AccountShares next) {
-        return new FleetView(peers, next, crashes, drainNotices, rateLimits, permits, rotation, capacity);
+        return new FleetView(peers, next, crashes, drainNotices, rateLimits, permits, domains, capacity);
     }
 
     FleetView with(CrashEvidence next) {
-        return new FleetView(peers, shares, next, drainNotices, rateLimits, permits, rotation, capacity);
+        return new FleetView(peers, shares, next, drainNotices, rateLimits, permits, domains, capacity);
     }
 
     FleetView with(DrainNotices next) {
-        return new FleetView(peers, shares, crashes, next, rateLimits, permits, rotation, capacity);
+        return new FleetView(peers, shares, crashes, next, rateLimits, permits, domains, capacity);
     }
 
     FleetView with(RateLimits next) {
-        return new FleetView(peers, shares, crashes, drainNotices, next, permits, rotation, capacity);
+        return new FleetView(peers, shares, crashes, drainNotices, next, permits, domains, capacity);
     }
 
     FleetView with(Permits next) {
-        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, next, rotation, capacity);
+        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, next, domains, capacity);
     }
 
-    FleetView with(Rotation next) {
+    FleetView with(GatewayDomains next) {
         return new FleetView(peers, shares, crashes, drainNotices, rateLimits, permits, next, capacity);
     }
 
     FleetView with(LearnedCapacity next) {
-        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, permits, rotation, next);
+        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, permits, domains, next);
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
@@ -10,8 +10,7 @@
 import org.sassafrastrail.gate.capacity.WorkEstimate;
 import org.sassafrastrail.gate.crash.UpstreamIncarnation;
 import org.sassafrastrail.gate.limit.LimitReport;
-import org.sassafrastrail.gate.rotation.Rotation;
-import org.sassafrastrail.gate.rotation.RotationReport;
+import org.sassafrastrail.model.FailureDomainName;
 import org.sassafrastrail.model.RefusalReason;
 
 /** An action that a gateway's decision asks to be carried out. */
@@ -180,18 +179,11 @@
     record RejectVersion(VersionMove move) implements GatewayAction {}
 
     /**
-     * Tell the other gateways this gateway's place in the rotation.
+     * Tell the other gateways in which failure domain this one is.
      *
-     * @param report what to tell
-     */
-    record ShareRotation(RotationReport report) implements GatewayAction {}
-
-    /**
-     * Log that this gateway left the rotation or returned to it.
-     *
-     * @param rotation the new state
+     * @param domain the failure domain
      */
-    record ReportRotation(Rotation rotation) implements GatewayAction {}
+    record AnnounceDomain(FailureDomainName domain) implements GatewayAction {}
 
     /**
      * Tell the other gateways what this gateway learned of the speed of upstreams.
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayCore.java
@@ -6,7 +6,6 @@
 import org.sassafrastrail.decision.EventRouter;
 import org.sassafrastrail.decision.Transition;
 import org.sassafrastrail.gate.crash.RecurringPartAttribution;
-import org.sassafrastrail.gate.rotation.PermanentRotationPolicy;
 
 /** The decision core of a gateway: routing, admission, scheduling, placement, retries and upstream health. */
 public final class GatewayCore implements DecisionCore<GatewayState, GatewayEvent, GatewayAction> {
@@ -31,7 +30,6 @@
         VersionMoveHandler versionMoves = new VersionMoveHandler();
         DrainNoticeHandler drainNotices = new DrainNoticeHandler();
         RateLimitHandler rateLimits = new RateLimitHandler(rateLimiter, calls, scheduler);
-        RotationHandler rotation = new RotationHandler(new PermanentRotationPolicy());
         CapacityHandler capacity = new CapacityHandler(limits);
         TickHandler ticks = new TickHandler(limits, calls, crashes, drainNotices, rateLimits, capacity, scheduler);
         this.handlers = EventRouter.<GatewayState, GatewayEvent, GatewayAction>over(GatewayEvent.class)
@@ -56,8 +54,8 @@
                 .on(GatewayEvent.PeerDisconnected.class, clusterState::peerDisconnected)
                 .on(GatewayEvent.VersionMovesChanged.class, versionMoves::movesChanged)
                 .on(GatewayEvent.VersionRejected.class, versionMoves::versionRejected)
-                .on(GatewayEvent.LoadMeasured.class, rotation::loadMeasured)
-                .on(GatewayEvent.PeerRotationReceived.class, rotation::peerRotationReceived)
+                .on(GatewayEvent.LagMeasured.class, capacity::lagMeasured)
+                .on(GatewayEvent.PeerDomainReceived.class, DomainHandler::peerDomainReceived)
                 .on(GatewayEvent.PeerCapacityReceived.class, capacity::peerCapacityReceived)
                 .on(GatewayEvent.Ticked.class, ticks::ticked)
                 .on(GatewayEvent.StopRequested.class, ticks::stopRequested)
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayEvent.java
@@ -10,8 +10,6 @@
 import org.sassafrastrail.gate.capacity.CapacityReport;
 import org.sassafrastrail.gate.crash.UpstreamIncarnation;
 import org.sassafrastrail.gate.limit.LimitReport;
-import org.sassafrastrail.gate.rotation.ProcessLoad;
-import org.sassafrastrail.gate.rotation.RotationReport;
 import org.sassafrastrail.model.FailureDomainName;
 
 /** An event that a gateway decides on. */
@@ -181,19 +179,19 @@
     record VersionRejected(VersionMove move) implements GatewayEvent {}
 
     /**
-     * The load of this process was measured.
+     * The lag of this process was measured.
      *
-     * @param load the load
+     * @param lag how long work waits for the process's threads
      */
-    record LoadMeasured(ProcessLoad load) implements GatewayEvent {}
+    record LagMeasured(Duration lag) implements GatewayEvent {}
 
     /**
-     * Another gateway told its place in the rotation.
+     * Another gateway told its failure domain.
      *
      * @param peer the name of the other gateway
-     * @param report what it told
+     * @param domain its failure domain
      */
-    record PeerRotationReceived(String peer, RotationReport report) implements GatewayEvent {}
+    record PeerDomainReceived(String peer, FailureDomainName domain) implements GatewayEvent {}
 
     /**
      * Another gateway told what it learned of the speed of upstreams.
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -15,7 +15,6 @@
 import org.sassafrastrail.gate.crash.UpstreamIncarnation;
 import org.sassafrastrail.gate.limit.Permits;
 import org.sassafrastrail.gate.limit.RateLimits;
-import org.sassafrastrail.gate.rotation.Rotation;
 import org.sassafrastrail.model.FailureDomainName;
 import org.sassafrastrail.model.TargetName;
 
@@ -69,7 +68,7 @@
                         DrainNotices.NONE,
                         RateLimits.NONE,
                         Permits.NONE,
-                        Rotation.start(gateway, domain),
+                        GatewayDomains.start(domain),
                         LearnedCapacity.NONE),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
@@ -140,13 +139,8 @@
         return fleet.permits();
     }
 
-    /**
-     * Returns whether this gateway is in the load balancer's rotation.
-     *
-     * @return the state of the rotation
-     */
-    public Rotation rotation() {
-        return fleet.rotation();
+    GatewayDomains domains() {
+        return fleet.domains();
     }
 
     /**
@@ -164,7 +158,7 @@
      * @return the gateways
      */
     public TableWatchers tableWatchers() {
-        return new TableWatchers(peers().self(), rotation().gatewaysOfDomain());
+        return new TableWatchers(peers().self(), domains().gatewaysOfOwn());
     }
 
     /**
@@ -287,8 +281,8 @@
         return next == permits() ? this : with(fleet.with(next));
     }
 
-    GatewayState with(Rotation next) {
-        return next == rotation() ? this : with(fleet.with(next));
+    GatewayState with(GatewayDomains next) {
+        return next == domains() ? this : with(fleet.with(next));
     }
 
     GatewayState with(LearnedCapacity next) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/LeastRequestPlacement.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/LeastRequestPlacement.java
@@ -6,8 +6,8 @@
 
 /**
  * Chooses the upstream with the shortest expected time among those whose slots and short queue are not full: the one with the
- * fewest running requests, weighted by how long requests take there. At equal times, one in the own failure domain is chosen, because bytes between
- * failure domains cost.
+ * fewest running requests, weighted by how long requests take there. At equal times, one in the own failure domain is chosen,
+ * because bytes between failure domains cost.
  */
 final class LeastRequestPlacement implements Placement {
 
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -170,7 +170,7 @@
     }
 
     private static boolean isInOwnDomain(GatewayState state, Upstream upstream) {
-        return state.rotation().domain().filter(upstream.domain()::equals).isPresent();
+        return state.domains().isOwn(upstream.domain());
     }
 
     private boolean isEligible(GatewayState state, UpstreamState upstream, TargetName target, Instant now) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TableWatchers.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TableWatchers.java
@@ -14,7 +14,9 @@
  */
 public record TableWatchers(String self, Set<String> others) {
 
+    /** With two, the loss of one is not noticed by the others. */
     private static final int WATCHERS = 2;
+
     private static final long KEY = StableHash.of("table-watchers");
 
     /**
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
@@ -46,6 +46,7 @@
                 .and(next -> endEjections(next, now))
                 .and(next -> rateLimits.share(next, now))
                 .and(next -> capacity.share(next, now))
+                .and(DomainHandler::share)
                 .and(next -> reportToPeers(next, now))
                 .and(next -> checkDrained(next, now));
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/capacity/LearnedCapacity.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/capacity/LearnedCapacity.java
@@ -25,6 +25,7 @@
  * @param sequence the number of reports sent
  * @param sharedAt when the last report was sent
  * @param evaluatedAt when the estimates were derived
+ * @param lag the lag of this gateway's own threads, which adds to the times of responses
  */
 public record LearnedCapacity(
         PMap<UpstreamWork, DecayingSums> own,
@@ -33,7 +34,8 @@
         OrderedPSet<UpstreamWork> unshared,
         long sequence,
         Instant sharedAt,
-        Instant evaluatedAt) {
+        Instant evaluatedAt,
+        Duration lag) {
 
     /** Nothing was learned. */
     public static final LearnedCapacity NONE = new LearnedCapacity(
@@ -43,7 +45,8 @@
             OrderedPSet.empty(),
             0,
             Instant.MIN,
-            Instant.MIN);
+            Instant.MIN,
+            Duration.ZERO);
 
     private static final Duration REPORT_INTERVAL = Duration.ofSeconds(1);
     private static final Duration EVALUATION_INTERVAL = Duration.ofMillis(250);
@@ -53,6 +56,18 @@
 
     private static final double MAX_EXTRA_MILLISECONDS = 200;
 
+    /**
+     * Records the lag of this gateway's threads.
+     *
+     * @param measured the lag
+     * @return what is known then
+     */
+    public LearnedCapacity withLag(Duration measured) {
+        return measured.equals(lag)
+                ? this
+                : new LearnedCapacity(own, peers, estimates, unshared, sequence, sharedAt, evaluatedAt, measured);
+    }
+
     /**
      * Adds a response to this gateway.
      *
@@ -73,7 +88,8 @@
                 unshared.plus(work),
                 sequence,
                 sharedAt,
-                evaluatedAt);
+                evaluatedAt,
+                lag);
     }
 
     private static double limited(double milliseconds, ResponseSums known) {
@@ -93,7 +109,8 @@
      */
     public LearnedCapacity withReport(String peer, long incarnation, CapacityReport report, Instant now) {
         PeerResponses next = peers.getOrDefault(peer, PeerResponses.NONE).with(incarnation, report, now);
-        return new LearnedCapacity(own, peers.plus(peer, next), estimates, unshared, sequence, sharedAt, evaluatedAt);
+        return new LearnedCapacity(
+                own, peers.plus(peer, next), estimates, unshared, sequence, sharedAt, evaluatedAt, lag);
     }
 
     /**
@@ -130,7 +147,8 @@
                         .entrySet()
                         .stream())
                 .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
-        return new LearnedCapacity(kept.own, kept.peers, HashTreePMap.from(next), unshared, sequence, sharedAt, now);
+        return new LearnedCapacity(
+                kept.own, kept.peers, HashTreePMap.from(next), unshared, sequence, sharedAt, now, lag);
     }
 
     /** The upstreams that are compared with each other. */
@@ -145,7 +163,7 @@
                 .flatMap(peer ->
                         peer.getValue().withoutDecayed(now).stream().map(left -> Map.entry(peer.getKey(), left)))
                 .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue)));
-        return new LearnedCapacity(keptOwn, keptPeers, estimates, unshared, sequence, sharedAt, evaluatedAt);
+        return new LearnedCapacity(keptOwn, keptPeers, estimates, unshared, sequence, sharedAt, evaluatedAt, lag);
     }
 
     private Map<UpstreamWork, ResponseSums> fleetSums(Instant now) {
@@ -204,6 +222,6 @@
      */
     public LearnedCapacity asShared(Instant now) {
         OrderedPSet<UpstreamWork> left = reported().reduce(unshared, OrderedPSet::minus, (first, second) -> second);
-        return new LearnedCapacity(own, peers, estimates, left, sequence + 1, now, evaluatedAt);
+        return new LearnedCapacity(own, peers, estimates, left, sequence + 1, now, evaluatedAt, lag);
     }
 }
--- a/gate-core/src/test/java/org/sassafrastrail/gate/ExpectedTimePlacementTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/ExpectedTimePlacementTest.java
@@ -15,7 +15,6 @@
 import org.sassafrastrail.gate.capacity.UpstreamWork;
 import org.sassafrastrail.gate.capacity.WorkKind;
 import org.sassafrastrail.gate.crash.UpstreamIncarnation;
-import org.sassafrastrail.gate.rotation.Rotation;
 import org.sassafrastrail.model.FailureDomainName;
 import org.sassafrastrail.model.TargetName;
 
@@ -109,8 +108,7 @@
     @Test
     void ownFailureDomainIsPreferredAtEqualTimes() {
         register(gateway, GatewayDriver.SERVICE);
-        gateway.change(
-                state -> state.with(Rotation.start("gateway", Optional.of(new FailureDomainName("domain-four")))));
+        gateway.change(state -> state.with(GatewayDomains.start(Optional.of(new FailureDomainName("domain-four")))));
         assertThat(placedOn(gateway, PLAIN_ROUTE, 5).toList())
                 .startsWith("four")
                 .doesNotHaveDuplicates();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallRecorder.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallRecorder.java
@@ -70,7 +70,4 @@
 
     /** A caller's idle connection was closed because the connection limit was exceeded. */
     void connectionClosedOverLimit();
-
-    /** A caller's connection is closed after its response, so that the caller connects to another gateway. */
-    void connectionHandedOver();
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerFrontEnd.java
@@ -39,10 +39,6 @@
     private static final long MAX_BUFFERED_RESPONSE_BYTES = 12L * 1024 * 1024;
 
     private static final Duration RETRY_AFTER = Duration.ofMillis(500);
-
-    /** Callers who are refused under overload connect to another gateway, which may have room at once. */
-    private static final Duration RETRY_AFTER_OVERLOAD = Duration.ofMillis(100);
-
     private static final Duration DEFAULT_TIMEOUT = Duration.ofMinutes(1);
 
     private final CallerProtocol protocol;
@@ -58,7 +54,6 @@
     private final BufferBudget responseBuffers = new BufferBudget(MAX_BUFFERED_RESPONSE_BYTES);
     private final Map<Long, CallerExchange> calls = new ConcurrentHashMap<>();
     private final OpenConnections openConnections;
-    private final ConnectionHandOver handOver;
     private final Map<XnioIoThread, UpstreamResources> upstreamResources = new ConcurrentHashMap<>();
 
     CallerFrontEnd(
@@ -76,7 +71,6 @@
         this.admission = admission;
         this.clock = clock;
         this.buffers = buffers;
-        this.handOver = new ConnectionHandOver(() -> state.get().rotation(), clock);
         this.openConnections = new OpenConnections(
                 admission.maxConnections(), recorder::connectionClosedOverLimit, this::callerDisconnected);
     }
@@ -128,17 +122,11 @@
         }
     }
 
-    /**
-     * Announces in the response head that the connection closes, if this process stops, refuses callers under overload or hands
-     * them over to other gateways.
-     */
+    /** Announces in the response head that the connection closes, if this process stops or refuses callers under overload. */
     private void disableKeepAliveIfNeeded(HttpServerExchange exchange) {
         boolean refused = exchange.getStatusCode() == StatusCodes.SERVICE_UNAVAILABLE;
         if (state.get().stoppingSince().isPresent() || refused && !admission.isCaughtUp()) {
             exchange.setPersistent(false);
-        } else if (handOver.closesNext()) {
-            recorder.connectionHandedOver();
-            exchange.setPersistent(false);
         }
     }
 
@@ -300,7 +288,6 @@
                 .orElse("none");
         recorder.refusedOnArrival(
                 request, account, exchange.getHostName() + exchange.getRequestPath(), reason, configuration);
-        GatewayProblems.refusal(status, reason, request)
-                .send(exchange, reason == RefusalReason.ROUTER_OVERLOADED ? RETRY_AFTER_OVERLOAD : RETRY_AFTER);
+        GatewayProblems.refusal(status, reason, request).send(exchange, RETRY_AFTER);
     }
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerListener.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerListener.java
@@ -82,8 +82,8 @@
 
     /**
      * Accepts a batch of waiting connections per event. Undertow's own listener accepts one, so that under a high
-     * connection rate callers wait for seconds and their requests are read too late. If connections are not accepted when an
-     * event is processed, the waiting ones are closed unread, which costs far less than a refusal.
+     * connection rate callers wait for seconds and their requests are read too late. If accepting is suspended when an
+     * event is processed, the waiting connections are closed unread, which costs far less than a refusal.
      */
     private void acceptBatch(AcceptingChannel<? extends StreamConnection> channel) {
         try {
@@ -94,8 +94,8 @@
                     closeUnread(next);
                 } else {
                     listener.handleEvent(next);
+                    accepted++;
                 }
-                accepted++;
                 next = accepted < MAX_ACCEPTS_PER_EVENT ? channel.accept() : null;
             }
         } catch (IOException failed) {
@@ -110,9 +110,6 @@
 
     /** Accepts new connections, or leaves them in the operating system's short queue. Can be called before the start. */
     synchronized void setAccepting(boolean accepting) {
-        if (accepting == this.accepting) {
-            return;
-        }
         this.accepting = accepting;
         if (server != null && server.isOpen()) {
             applyAccepting();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/DutySettings.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/DutySettings.java
@@ -10,7 +10,7 @@
  * The settings of the platform's API and of the duties that one gateway at a time has there.
  *
  * @param address the address of the API, host and port; null if there is none
- * @param names the names of the duties; null for none
+ * @param names the platform's names of the duties; null for none
  * @param leaseMilliseconds the time for which a lease of a duty is valid; null for the default
  * @param pauseMarginMilliseconds the margin for a pause of the process between a check of the lease and a call; null for the
  *     default
@@ -25,7 +25,6 @@
         Double reportWindowSeconds,
         Double usageLateSeconds) {
 
-    private static final String USAGE_REPORT = "usage_report";
     private static final double DEFAULT_LEASE_MILLISECONDS = 3000;
     private static final double DEFAULT_PAUSE_MARGIN_MILLISECONDS = 300;
     private static final double DEFAULT_REPORT_WINDOW_SECONDS = 5;
@@ -33,12 +32,12 @@
     private static final double MILLISECONDS_PER_SECOND = 1000;
 
     /**
-     * Returns whether there is an API and a duty that this code performs.
+     * Returns whether there are an API and duties.
      *
      * @return whether there is
      */
     boolean hasDuties() {
-        return address != null && names != null && names.contains(USAGE_REPORT);
+        return address != null && names != null && !names.isEmpty();
     }
 
     LeaseTimes leaseTimes() {
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
@@ -7,7 +7,6 @@
 import io.undertow.util.StatusCodes;
 import org.sassafrastrail.gate.GatewayAction;
 import org.sassafrastrail.gate.VersionMove;
-import org.sassafrastrail.gate.rotation.Rotation;
 import org.sassafrastrail.runtime.ActionExecutor;
 import org.sassafrastrail.runtime.EventLog;
 import org.sassafrastrail.runtime.LogField;
@@ -69,14 +68,12 @@
             peers.shareDrainNotices(share.reports());
         } else if (action instanceof GatewayAction.ShareRateLimits share) {
             peers.shareRateLimits(share.reports());
-        } else if (action instanceof GatewayAction.ShareRotation share) {
-            peers.shareRotation(share.report());
+        } else if (action instanceof GatewayAction.AnnounceDomain announce) {
+            peers.announceDomain(announce.domain());
         } else if (action instanceof GatewayAction.ShareCapacity share) {
             peers.shareCapacity(share.report());
         } else if (action instanceof GatewayAction.ReportSpeed report) {
             recordSpeed(report);
-        } else if (action instanceof GatewayAction.ReportRotation report) {
-            recordRotation(report.rotation());
         } else if (action instanceof GatewayAction.RequestPermit request) {
             peers.requestPermit(request);
         } else if (action instanceof GatewayAction.AnswerPermitRequest answer) {
@@ -162,14 +159,6 @@
                 LogField.of("parts", cause.parts().stream().sorted().collect(Collectors.joining(","))));
     }
 
-    private void recordRotation(Rotation rotation) {
-        metrics.count("rotation." + (rotation.inRotation() ? "entered" : "left"), 1);
-        log.warn(
-                rotation.inRotation() ? "rotation-entered" : "rotation-left",
-                LogField.of("lag-ms", rotation.load().lag().toMillis()),
-                LogField.of("connections", rotation.load().connections()));
-    }
-
     private void recordSpeed(GatewayAction.ReportSpeed report) {
         boolean differs = report.estimate().differs();
         metrics.count("upstream-speed." + (differs ? "differs" : "usual"), 1);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -19,7 +19,6 @@
 import org.sassafrastrail.gate.GatewayCore;
 import org.sassafrastrail.gate.GatewayEvent;
 import org.sassafrastrail.gate.GatewayState;
-import org.sassafrastrail.gate.rotation.ProcessLoad;
 import org.sassafrastrail.http.JsonResponses;
 import org.sassafrastrail.model.AccountName;
 import org.sassafrastrail.model.Incarnation;
@@ -116,10 +115,10 @@
         GatewayActionExecutor actions = new GatewayActionExecutor(
                 callers, peers, clusterState::rejectVersion, drained::countDown, recorder, metrics, log);
         this.duties = settings.configuredDuties()
-                .flatMap(cloud -> dutyPlatform.map(platform -> new SingletonDuties(
+                .flatMap(dutySettings -> dutyPlatform.map(platform -> new SingletonDuties(
                         new DutyContext(
                                 new DutyHolder(settings.node(), incarnation.value()),
-                                cloud,
+                                dutySettings,
                                 platform,
                                 peers,
                                 clock,
@@ -167,7 +166,7 @@
 
     /** An overloaded gateway is not ready either, so that it serves the callers that it has and gets no new ones. */
     private boolean ready() {
-        return state().ready() && state().rotation().inRotation() && admission.isCaughtUp();
+        return state().ready() && admission.isCaughtUp();
     }
 
     private void requestBegan(AccountName account) {
@@ -178,7 +177,7 @@
         ioThreadLag.probe();
         activity.logIfDue();
         updateOverload(!admission.isCaughtUp());
-        post(new GatewayEvent.LoadMeasured(new ProcessLoad(lag(), callers.connectionCount())));
+        post(new GatewayEvent.LagMeasured(lag()));
         post(new GatewayEvent.Ticked());
     }
 
--- a/gateway/src/main/java/org/sassafrastrail/gateway/LoggingCallRecorder.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/LoggingCallRecorder.java
@@ -73,11 +73,6 @@
         metrics.count("connections-closed-over-limit", 1);
     }
 
-    @Override
-    public void connectionHandedOver() {
-        metrics.count("connections-handed-over", 1);
-    }
-
     @Override
     public void attemptEnded(CallDescription call, int attempt, Upstream upstream, AttemptResult result, String cause) {
         String name = result.getClass().getSimpleName();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerLinks.java
@@ -24,10 +24,10 @@
 import org.sassafrastrail.gate.TableWatchers;
 import org.sassafrastrail.gate.capacity.CapacityReport;
 import org.sassafrastrail.gate.limit.LimitReport;
-import org.sassafrastrail.gate.rotation.RotationReport;
 import org.sassafrastrail.messages.CapacityUpdate;
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.CrashUpdate;
+import org.sassafrastrail.messages.DomainAnnouncement;
 import org.sassafrastrail.messages.DrainUpdate;
 import org.sassafrastrail.messages.DutyUpdate;
 import org.sassafrastrail.messages.Hello;
@@ -36,10 +36,10 @@
 import org.sassafrastrail.messages.Message;
 import org.sassafrastrail.messages.PermitAnswer;
 import org.sassafrastrail.messages.PermitRequest;
-import org.sassafrastrail.messages.RotationUpdate;
 import org.sassafrastrail.messages.TableCopy;
 import org.sassafrastrail.messages.TableUpdate;
 import org.sassafrastrail.messages.UsageUpdate;
+import org.sassafrastrail.model.FailureDomainName;
 import org.sassafrastrail.model.Incarnation;
 import org.sassafrastrail.model.NodeName;
 import org.sassafrastrail.runtime.EventLog;
@@ -56,7 +56,7 @@
 import org.sassafrastrail.wire.LinkSettings;
 import org.sassafrastrail.wire.MessagePackCodec;
 
-/** The links to the other gateways, which carry load reports, and copies of tables while the store is unavailable. */
+/** The links to the other gateways, which carry what gateways tell each other of their decisions, and copies of tables. */
 final class PeerLinks implements Service, GatewayPeers, PeerNotifier, DutyPeers, LinkListener {
 
     private static final Duration REDIAL_INTERVAL = Duration.ofSeconds(1);
@@ -78,8 +78,7 @@
     /** The links to each peer, oldest first; there are two if each has the other as a seed. */
     private final Map<String, List<Link>> links = new ConcurrentHashMap<>();
 
-    private final Map<String, WatchedTable> tables = new ConcurrentHashMap<>();
-    private final Map<String, SharedTable> followedTables = new ConcurrentHashMap<>();
+    private final TableExchange tables;
     private volatile DutyMessageListener dutyListener = DutyMessageListener.NONE;
 
     PeerLinks(
@@ -93,6 +92,7 @@
         this.events = events;
         this.watchers = watchers;
         this.log = log;
+        this.tables = new TableExchange(log);
         Hello greeting =
                 new Hello(Hello.PROTOCOL_VERSION, NO_KEY, new NodeName(settings.node()), incarnation, Optional.empty());
         this.linkSettings = new LinkSettings(
@@ -177,12 +177,12 @@
 
     @Override
     public void shareTable(String table, WatchedTable watchedTable) {
-        tables.put(table, watchedTable);
+        tables.share(table, watchedTable);
     }
 
     @Override
     public void followTable(String table, SharedTable sharedTable) {
-        followedTables.put(table, sharedTable);
+        tables.follow(table, sharedTable);
     }
 
     @Override
@@ -222,8 +222,8 @@
     }
 
     @Override
-    public void shareRotation(RotationReport report) {
-        sendToAll(RotationUpdateMapper.toMessage(report));
+    public void announceDomain(FailureDomainName domain) {
+        sendToAll(new DomainAnnouncement(domain));
     }
 
     @Override
@@ -288,9 +288,8 @@
             events.accept(new GatewayEvent.PeerDrainNoticesReceived(DrainUpdateMapper.fromMessage(update)));
         } else if (message instanceof LimitUpdate update) {
             events.accept(new GatewayEvent.PeerRateLimitsReceived(RateLimitMapper.fromMessage(update)));
-        } else if (message instanceof RotationUpdate update) {
-            events.accept(new GatewayEvent.PeerRotationReceived(
-                    link.peer().node().value(), RotationUpdateMapper.fromMessage(update)));
+        } else if (message instanceof DomainAnnouncement announcement) {
+            events.accept(new GatewayEvent.PeerDomainReceived(link.peer().node().value(), announcement.domain()));
         } else if (message instanceof CapacityUpdate update) {
             events.accept(new GatewayEvent.PeerCapacityReceived(
                     link.peer().node().value(),
@@ -302,15 +301,11 @@
         } else if (message instanceof PermitAnswer answer) {
             events.accept(RateLimitMapper.fromMessage(answer));
         } else if (message instanceof CopyRequest request) {
-            Optional.ofNullable(tables.get(request.table()))
-                    .map(WatchedTable::snapshot)
-                    .filter(snapshot -> TableMapper.fromMessage(request).isBefore(snapshot.version()))
-                    .ifPresent(snapshot -> link.send(TableMapper.toMessage(request.table(), snapshot)));
+            tables.answer(request).ifPresent(link::send);
         } else if (message instanceof TableCopy copy) {
-            applyCopy(link, copy);
+            tables.received(link.peer().node(), copy);
         } else if (message instanceof TableUpdate update) {
-            Optional.ofNullable(followedTables.get(update.table()))
-                    .ifPresent(table -> table.follow(TableMapper.fromMessage(update)));
+            tables.received(update);
         } else if (message instanceof UsageUpdate update) {
             dutyListener.usageReceived(holder(link), update);
         } else if (message instanceof DutyUpdate update) {
@@ -323,20 +318,6 @@
                 link.peer().node().value(), link.peer().incarnation().value());
     }
 
-    private void applyCopy(Link link, TableCopy copy) {
-        boolean applied = Optional.ofNullable(tables.get(copy.table()))
-                .filter(table -> table.replaceIfNewer(TableMapper.fromMessage(copy)))
-                .isPresent();
-        if (applied) {
-            log.info(
-                    "copy-taken",
-                    LogField.of("table", copy.table()),
-                    LogField.of("version", copy.version()),
-                    LogField.of("era", copy.era()),
-                    LogField.of("peer", link.peer().node()));
-        }
-    }
-
     @Override
     public void closed(Link link, LinkCloseReason reason) {
         String peer = link.peer().node().value();
--- a/gateway/src/main/java/org/sassafrastrail/gateway/PeerNotifier.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/PeerNotifier.java
@@ -8,7 +8,7 @@
 import org.sassafrastrail.gate.GatewayReport;
 import org.sassafrastrail.gate.capacity.CapacityReport;
 import org.sassafrastrail.gate.limit.LimitReport;
-import org.sassafrastrail.gate.rotation.RotationReport;
+import org.sassafrastrail.model.FailureDomainName;
 
 /** Sends what this gateway has decided to tell its peers. */
 interface PeerNotifier {
@@ -25,8 +25,8 @@
     /** Tells all peers which limits upstreams named. */
     void shareRateLimits(List<LimitReport> reports);
 
-    /** Tells all peers this gateway's place in the load balancer's rotation. */
-    void shareRotation(RotationReport report);
+    /** Tells all peers in which failure domain this gateway is. */
+    void announceDomain(FailureDomainName domain);
 
     /** Tells all peers what this gateway learned of the speed of upstreams. */
     void shareCapacity(CapacityReport report);
--- a/gateway/src/main/java/org/sassafrastrail/gateway/SingletonDuties.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/SingletonDuties.java
@@ -17,7 +17,9 @@
 /** The duties that one gateway at a time has: reports of the usage of client accounts to the platform's API. */
 final class SingletonDuties implements Service, DutyMessageListener {
 
-    private static final String USAGE_REPORT = "usage_report";
+    /** The name of the duty in its row of the store, in messages and in metrics. */
+    private static final String ACCOUNT_USAGE = "account-usage";
+
     private static final Duration LEASE_PAUSE = Duration.ofMillis(100);
     private static final Duration REPORT_PAUSE = Duration.ofMillis(250);
 
@@ -46,7 +48,7 @@
         EventLog log = context.log();
         this.peers = context.peers();
         this.usage = new UsageCollector(context.self(), context.settings().usageWindows(), context.clock(), wallClock);
-        this.lease = new LeaseKeeper(USAGE_REPORT, context);
+        this.lease = new LeaseKeeper(ACCOUNT_USAGE, context);
         this.reports = new UsageReporter(context, lease, usage);
         this.tasks = new CompositeService(List.of(
                 new PeriodicTask("duty-lease", LEASE_PAUSE, lease::poll, log),
@@ -77,7 +79,7 @@
 
     @Override
     public void leaseReceived(DutyHolder peer, DutyUpdate update) {
-        if (update.duty().equals(USAGE_REPORT)) {
+        if (update.duty().equals(ACCOUNT_USAGE)) {
             lease.heard(peer, update);
             reports.heard(update);
         }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UsageReporter.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UsageReporter.java
@@ -119,8 +119,8 @@
     }
 
     /**
-     * Sends the next report. Opening a connection may take up to two seconds before the call is sent, so at least half of the
-     * lease has to be left, which ends twice the slack before another gateway can take it.
+     * Sends the next report. Opening a connection may take seconds before the call is sent, so at least half of the lease has to
+     * be left.
      */
     private ReportQueue send(ReportQueue present) {
         Optional<UsageReport> next = present.nextToSend();
@@ -148,7 +148,7 @@
     }
 
     private void failed(UsageReport report, Instant startedAt, String cause) {
-        metrics.count("usage-reports.failed", 1);
+        metrics.count("account-usage.failed", 1);
         if (failingSince.isEmpty()) {
             failingSince = Optional.of(startedAt);
             log.warn("usage-report-failed", LogField.of("window", report.window()), LogField.of("cause", cause));
@@ -161,12 +161,12 @@
 
     private void record(UsageReport report, boolean repeated) {
         Duration sinceEnd = usage.sinceEnd(report.window());
-        metrics.count("usage-reports.sent", 1);
+        metrics.count("account-usage.sent", 1);
         if (repeated) {
-            metrics.count("usage-reports.repeated", 1);
+            metrics.count("account-usage.repeated", 1);
         }
         if (sinceEnd.compareTo(late) > 0) {
-            metrics.count("usage-reports.late", 1);
+            metrics.count("account-usage.late", 1);
         }
         log.info(
                 "usage-reported",
--- a/gateway/src/test/java/org/sassafrastrail/gateway/SingletonDutiesTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/SingletonDutiesTest.java
@@ -44,13 +44,13 @@
     private final FakePlatform platform = new FakePlatform();
     private final DutyContext context = new DutyContext(
             SELF,
-            new DutySettings("127.0.0.1:1", List.of("usage_report"), null, null, null, null),
+            new DutySettings("127.0.0.1:1", List.of("a duty"), null, null, null, null),
             platform,
             new NoPeers(),
             clock,
             new Metrics(new MetricRegistry()),
             new EventLog("test"));
-    private final LeaseKeeper lease = new LeaseKeeper("usage_report", context);
+    private final LeaseKeeper lease = new LeaseKeeper("account-usage", context);
     private final UsageCollector usage =
             new UsageCollector(SELF, context.settings().usageWindows(), clock, wallClock);
     private final UsageReporter reports = new UsageReporter(context, lease, usage);
--- a/messages/src/main/java/org/sassafrastrail/messages/Message.java
+++ b/messages/src/main/java/org/sassafrastrail/messages/Message.java
@@ -22,7 +22,7 @@
                 LimitUpdate,
                 PermitRequest,
                 PermitAnswer,
-                RotationUpdate,
+                DomainAnnouncement,
                 TableUpdate,
                 UsageUpdate,
                 DutyUpdate,
--- a/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
+++ b/wire/src/main/java/org/sassafrastrail/wire/MessageKind.java
@@ -9,6 +9,7 @@
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.CrashUpdate;
 import org.sassafrastrail.messages.Demand;
+import org.sassafrastrail.messages.DomainAnnouncement;
 import org.sassafrastrail.messages.DrainUpdate;
 import org.sassafrastrail.messages.DutyUpdate;
 import org.sassafrastrail.messages.EvidenceUpdate;
@@ -23,7 +24,6 @@
 import org.sassafrastrail.messages.MoveUpdate;
 import org.sassafrastrail.messages.PermitAnswer;
 import org.sassafrastrail.messages.PermitRequest;
-import org.sassafrastrail.messages.RotationUpdate;
 import org.sassafrastrail.messages.RulesAnnouncement;
 import org.sassafrastrail.messages.RulesRequest;
 import org.sassafrastrail.messages.TableCopy;
@@ -52,7 +52,7 @@
     LIMIT_UPDATE(18, LimitUpdate.class),
     PERMIT_REQUEST(19, PermitRequest.class),
     PERMIT_ANSWER(20, PermitAnswer.class),
-    ROTATION_UPDATE(21, RotationUpdate.class),
+    DOMAIN_ANNOUNCEMENT(21, DomainAnnouncement.class),
     TABLE_UPDATE(22, TableUpdate.class),
     CAPACITY_UPDATE(23, CapacityUpdate.class),
     USAGE_UPDATE(30, UsageUpdate.class),
--- a/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
+++ b/wire/src/test/java/org/sassafrastrail/wire/MessagePackCodecTest.java
@@ -27,6 +27,7 @@
 import org.sassafrastrail.messages.CopyRequest;
 import org.sassafrastrail.messages.CrashUpdate;
 import org.sassafrastrail.messages.Demand;
+import org.sassafrastrail.messages.DomainAnnouncement;
 import org.sassafrastrail.messages.DrainUpdate;
 import org.sassafrastrail.messages.DrainingUpstream;
 import org.sassafrastrail.messages.DutyUpdate;
@@ -46,7 +47,6 @@
 import org.sassafrastrail.messages.PermitAnswer;
 import org.sassafrastrail.messages.PermitRequest;
 import org.sassafrastrail.messages.RemovedRow;
-import org.sassafrastrail.messages.RotationUpdate;
 import org.sassafrastrail.messages.RulesAnnouncement;
 import org.sassafrastrail.messages.RulesRequest;
 import org.sassafrastrail.messages.SuspectPart;
@@ -112,11 +112,11 @@
                         new LimitedUpstream("i-2", 0, OptionalDouble.empty(), 0))),
                 new PermitRequest(new LimitedUpstream("i-1", 1_770_000_000_000L, OptionalDouble.of(0.5), 40)),
                 new PermitAnswer("i-1", 1_770_000_000_000L, false, 85),
-                new RotationUpdate(new FailureDomainName("north"), false, 0.25, 430),
+                new DomainAnnouncement(new FailureDomainName("north")),
                 new UsageUpdate(
                         1_770_000_000_000L,
                         List.of(new WindowUsage(353_445_120, List.of(new AccountCount("kitchen", 412))))),
-                new DutyUpdate("usage_report", 7, 3, 353_445_119, 353_445_120, false, 12),
+                new DutyUpdate("account-usage", 7, 3, 353_445_119, 353_445_120, false, 12),
                 new CopyRequest("servers", 17, 2),
                 new TableCopy("servers", 18, List.of(), 2),
                 new TableUpdate("servers", 17, 18, List.of(), List.of(new RemovedRow("i-1", 18)), 2),
