Report no window whose counts are gone

Cause: the review led to 24 windows of counts in place of 120, but up to 120 windows were still reported after an outage: all but the last ones without counts, which the platform takes for zero. Change: the backlog follows from the windows that are kept; they have one constant. Result: UsageTest.afterALongOutageNoWindowIsReportedWhoseCountsAreGone, which got {} before.

--- a/duty-core/src/main/java/org/sassafrastrail/duty/ReportQueue.java
+++ b/duty-core/src/main/java/org/sassafrastrail/duty/ReportQueue.java
@@ -17,8 +17,8 @@
     /** The reports that are kept in the store after they were sent. A store that comes back from an older copy needs no more. */
     private static final int KEPT_REPORTS = 3;
 
-    /** Longer gaps are not made up for: nobody has counts of them any more. */
-    private static final int MAX_BACKLOG = 120;
+    /** Longer gaps are not made up for: of the windows whose counts are kept, the last two are not complete. */
+    private static final int MAX_BACKLOG = UsageCounts.MAX_WINDOWS - 2;
 
     /**
      * A report whose content is in the store.
--- a/duty-core/src/main/java/org/sassafrastrail/duty/UsageCounts.java
+++ b/duty-core/src/main/java/org/sassafrastrail/duty/UsageCounts.java
@@ -19,8 +19,8 @@
     /** No counts. */
     public static final UsageCounts NONE = new UsageCounts(TreePMap.empty());
 
-    /** Bounds the memory while no report can be agreed on. */
-    private static final int MAX_WINDOWS = 24;
+    /** The windows that are kept, which bounds the memory while no report can be agreed on. */
+    public static final int MAX_WINDOWS = 24;
 
     /**
      * Merges what a gateway run told of a window.
--- a/duty-core/src/test/java/org/sassafrastrail/duty/UsageTest.java
+++ b/duty-core/src/test/java/org/sassafrastrail/duty/UsageTest.java
@@ -14,6 +14,19 @@
 /** Guards against wrong counts in usage reports, and against reports that are out of order or differ when repeated. */
 class UsageTest {
 
+    /** Guards against reports without counts: more windows were reported after an outage than counts are kept of. */
+    @Test
+    void afterALongOutageNoWindowIsReportedWhoseCountsAreGone() {
+        UsageCounts counts = UsageCounts.NONE;
+        for (long window = 1; window <= 301; window++) {
+            counts = counts.with(window, new DutyHolder("a", 1), Map.of("guest", 1L));
+        }
+        ReportQueue queue = ReportQueue.takenOver(1, List.of(), 1);
+        long next = queue.nextToAgree(300).orElseThrow();
+
+        assertThat(counts.report(next).counts()).isEqualTo(Map.of("guest", 1L));
+    }
+
     private static final Instant NOW = Instant.ofEpochSecond(1_800_000_002);
     private static final UsageWindows WINDOWS = UsageWindows.dueAfter(Duration.ofSeconds(5), Duration.ofSeconds(10));
 
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UsageCollector.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UsageCollector.java
@@ -29,8 +29,6 @@
 
     private static final int KEPT_WINDOWS = 6;
 
-    private static final int MAX_WINDOWS = 24;
-
     private final DutyHolder self;
     private final UsageWindows windows;
     private final Clock clock;
@@ -76,7 +74,7 @@
     /** Returns what to tell the peers: the windows that changed since the last call, or the last ones all. */
     synchronized UsageUpdate takeUpdate(boolean all) {
         readWallClock();
-        while (own.size() > MAX_WINDOWS) {
+        while (own.size() > UsageCounts.MAX_WINDOWS) {
             own.pollFirstEntry();
         }
         Stream<Long> told = all
