Begin usage reports with the first counts that any gateway tells

Cause: the first holder fixed the first window when it took the duty, before it had heard its peers' counts of the window before; those requests were in no report. UsageReportTest.nextHolderReportsWhatTheLastOneCounted failed once for it: 5 of 6 requests. Change: while nothing has been agreed on, reports begin with the first window that has counts. Result: SingletonDutiesTest.countsThatArriveAfterTheFirstHolderBeganAreReported, which began with the later window before.

--- a/duty-core/src/main/java/org/sassafrastrail/duty/ReportQueue.java
+++ b/duty-core/src/main/java/org/sassafrastrail/duty/ReportQueue.java
@@ -45,6 +45,16 @@
         return new ReportQueue(sentThrough == 0 ? before : sentThrough, agreed);
     }
 
+    /**
+     * Lets the reports begin with an earlier window, while none was agreed on. Counts of peers may arrive after the duty was taken.
+     *
+     * @param first the first window with counts
+     * @return the queue
+     */
+    public ReportQueue beginningAt(long first) {
+        return agreed.isEmpty() && first <= sentThrough ? new ReportQueue(first - 1, agreed) : this;
+    }
+
     /**
      * Returns the window whose report has to be agreed on next.
      *
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UsageReporter.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UsageReporter.java
@@ -74,7 +74,7 @@
         if (queue.isEmpty()) {
             queue = platform.readReports().map(this::takenOver);
         }
-        queue = queue.map(this::agree).map(this::send).map(this::removeObsolete);
+        queue = queue.map(this::begin).map(this::agree).map(this::send).map(this::removeObsolete);
     }
 
     private ReportQueue takenOver(List<ReportQueue.AgreedReport> stored) {
@@ -82,6 +82,11 @@
                 Math.max(sentThrough.get(), lease.recordedProgress()), stored, usage.firstWindow());
     }
 
+    private ReportQueue begin(ReportQueue present) {
+        boolean begun = sentThrough.get() > 0 || agreedThrough > 0 || lease.recordedProgress() > 0;
+        return begun ? present : present.beginningAt(usage.firstWindow());
+    }
+
     private ReportQueue agree(ReportQueue present) {
         Optional<Long> window = present.nextToAgree(usage.lastCollected());
         if (window.isEmpty() || !lease.isValid()) {
--- a/gateway/src/test/java/org/sassafrastrail/gateway/SingletonDutiesTest.java
+++ b/gateway/src/test/java/org/sassafrastrail/gateway/SingletonDutiesTest.java
@@ -65,6 +65,18 @@
         assertThat(platform.sent.get(0).counts()).isEqualTo(Map.of("hule", 5L));
     }
 
+    /** Guards against requests in no report: the first holder began with its own window before it had heard its peers' counts. */
+    @Test
+    void countsThatArriveAfterTheFirstHolderBeganAreReported() {
+        advance(Duration.ofMillis(4500));
+        run(Duration.ofMillis(2500));
+        usage.heard(PEER, update(4));
+        run(Duration.ofSeconds(8));
+
+        assertThat(platform.sent).extracting(UsageReport::window).startsWith(WINDOW, WINDOW + 1);
+        assertThat(platform.sent.get(0).counts()).isEqualTo(Map.of("hule", 4L));
+    }
+
     @Test
     void pausedHolderDoesNotSendWhenItResumes() {
         run(Duration.ofSeconds(5));
