--- /dev/null
+++ b/review/harness-2/src/test/java/review/Setup.java
@@ -0,0 +1,72 @@
+package review;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A small deployment on loopback addresses: the store, workers and gateways. Ends all that it started. */
+final class Setup implements AutoCloseable {
+
+    final Path root = Path.of("").toAbsolutePath();
+    final Path folder;
+    final Record record;
+    final Store store;
+    final List<Gateway> gateways = new ArrayList<>();
+
+    Setup(Path record) throws Exception {
+        this.record = new Record(record);
+        this.folder = Files.createTempDirectory("review");
+        this.store = new Store();
+    }
+
+    static boolean trouble() {
+        return !"0".equals(System.getenv("TROUBLE"));
+    }
+
+    /** Writes the first config. */
+    void configure(String routes, String services) {
+        configure(1, routes, services);
+    }
+
+    void configure(long version, String routes, String services) {
+        store.put("op", "config", """
+                {"version":%d,"routes":[%s],"services":[%s],
+                 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000,
+                 "tokensPerS":644000},"tenants":[{"name":"tenant-1","apiKeys":["key-1"],"priority":1}]}"""
+                .formatted(version, routes, services));
+    }
+
+    static String route(String name, String kind, long timeoutMs, long sloMs, String service, int maxAttempts, boolean resumable) {
+        return """
+                {"name":"%s","host":"app.example","prefix":"/%s/","kind":"%s","timeoutMs":%d,"sloMs":%d,"priority":1,\
+                "service":"%s","maxAttempts":%d,"anonymous":false,"sticky":false,"resumable":%b,"gapSloMs":400}"""
+                .formatted(name, name, kind, timeoutMs, sloMs, service, maxAttempts, resumable);
+    }
+
+    static String service(String name) {
+        return """
+                {"name":"%s","healthPath":"/health","maxConns":110,"protocol":"h1","tls":false,"coldS":0.0,"coldPerS":0.0}"""
+                .formatted(name);
+    }
+
+    /** Starts gateways and waits until each is ready. */
+    void start(int count) throws Exception {
+        List<Gateway.Ports> ports = Gateway.Ports.choose(count);
+        String seeds = String.join(",", ports.stream().limit(3).map(each -> "\"127.0.0.1:" + each.links() + "\"").toList());
+        for (int each = 0; each < count; each++) {
+            gateways.add(new Gateway(root, folder, "gateway-" + (each + 1), ports.get(each), seeds, store.address()));
+        }
+        for (Gateway gateway : gateways) {
+            gateway.awaitReady();
+            gateway.awaitLog("event=upstream-found");
+        }
+    }
+
+    @Override
+    public void close() {
+        gateways.forEach(Gateway::close);
+        store.close();
+        record.close();
+    }
+}
