--- /dev/null
+++ b/review/harness-2/src/test/java/review/EndlessHead.java
@@ -0,0 +1,197 @@
+package review;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Half of the workers of a service answer one request in twenty, for five seconds, with bytes that are no answer: lines of
+ * a head that does not end until the caller closes. The other workers are sound all the while, and their answers count.
+ */
+final class EndlessHead {
+
+    private static final int WORKERS = 10;
+    private static final int FAULTY_WORKERS = 5;
+
+    /** Each faulty worker spoils one answer in so many. */
+    private static final int SPOILT_ONE_IN = 20;
+
+    private static final long TROUBLE_FROM_MS = 4_000;
+    private static final long TROUBLE_FOR_MS = 5_000;
+    private static final long TRAFFIC_FOR_MS = 18_000;
+
+    /** The requests a second of all clients of the site together. */
+    private static final int REQUESTS_PER_SECOND = 388;
+
+    private static final int EVENTS = 20;
+    private static final long EVENT_PAUSE_MS = 40;
+    private static final int FIRST_BYTES = 100_000;
+    private static final long LINE_PAUSE_MS = 10;
+
+    /** The rule allows three. */
+    private static final int ALLOWED = 3;
+
+    private final Setup setup;
+    private final long start = System.nanoTime();
+    private final Map<String, String> runAt = new ConcurrentHashMap<>();
+    private final Set<String> cut = ConcurrentHashMap.newKeySet();
+    private final ConcurrentLinkedDeque<Client> idle = new ConcurrentLinkedDeque<>();
+    private final AtomicInteger whole = new AtomicInteger();
+    private final AtomicInteger other = new AtomicInteger();
+    private final AtomicInteger endless = new AtomicInteger();
+    private volatile long trafficStart = Long.MAX_VALUE;
+
+    private EndlessHead(Setup setup) {
+        this.setup = setup;
+    }
+
+    public static void main(String[] arguments) throws Exception {
+        try (Setup setup = new Setup(Path.of(arguments[0]))) {
+            System.exit(new EndlessHead(setup).run());
+        } catch (Exception failed) {
+            failed.printStackTrace();
+            System.exit(2);
+        }
+    }
+
+    private static long milliseconds() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    private int run() throws Exception {
+        setup.configure(
+                Setup.route("question", "streaming", 12_000, 1_000, "model", 1, false), Setup.service("model"));
+        List<Worker> workers = new ArrayList<>();
+        for (int number = 1; number <= WORKERS; number++) {
+            Worker worker = worker("i-" + number, number <= FAULTY_WORKERS && Setup.trouble());
+            workers.add(worker);
+            setup.store.put("servers", worker.id, worker.entry("model", 128));
+        }
+        setup.start(1);
+        Gateway gateway = setup.gateways.get(0);
+        ExecutorService clients = Executors.newCachedThreadPool(work -> {
+            Thread thread = new Thread(null, work, "client", 128 * 1024);
+            thread.setDaemon(true);
+            return thread;
+        });
+        trafficStart = milliseconds();
+        int sent = 0;
+        while (milliseconds() - trafficStart < TRAFFIC_FOR_MS && gateway.isAlive()) {
+            long due = (milliseconds() - trafficStart) * REQUESTS_PER_SECOND / 1000;
+            while (sent < due) {
+                sent++;
+                String id = "r-" + sent;
+                clients.execute(() -> send(gateway.callers, id));
+            }
+            Thread.sleep(5);
+        }
+        boolean ended = gateway.awaitEnd(2);
+        if (ended) {
+            setup.record.add("gateway ended by itself, exit code " + gateway.exitCode() + ", last line: "
+                    + gateway.logLines("Terminating"));
+        }
+        clients.shutdown();
+        clients.awaitTermination(14, TimeUnit.SECONDS);
+        long lost = cut.stream().filter(id -> isSound(runAt.get(id))).count();
+        setup.record.add("sent " + sent + ", answered whole " + whole + ", endless heads " + endless + ", other ends "
+                + other + ", cut on kept channels at sound workers " + lost + ", allowed " + ALLOWED);
+        System.out.println("sent " + sent + ", whole " + whole + ", endless heads " + endless + ", other ends " + other
+                + ", cut on kept channels at sound workers " + lost + (ended ? ", gateway ended, exit " + gateway.exitCode() : ""));
+        for (Worker worker : workers) {
+            worker.close();
+        }
+        return lost > ALLOWED ? 1 : 0;
+    }
+
+    private static boolean isSound(String worker) {
+        return worker != null && Integer.parseInt(worker.substring(2)) > FAULTY_WORKERS;
+    }
+
+    private void send(int port, String id) {
+        Client client = idle.pollFirst();
+        boolean kept = client != null;
+        try {
+            if (!kept) {
+                client = new Client(port);
+            }
+            client.send(Client.request("POST", "/question/q", id, 12_000, "body"));
+            Message head = Message.readHead(client.input);
+            if (head == null) {
+                throw new EOFException("channel ended without an answer");
+            }
+            if (head.status() != 200) {
+                head.readBody(client.input);
+                other.incrementAndGet();
+                setup.record.add("answered " + id + ": " + head.firstLine());
+            } else {
+                readStream(client, id);
+                whole.incrementAndGet();
+            }
+            idle.addFirst(client);
+        } catch (IOException ended) {
+            setup.record.add("answered " + id + ": " + (kept ? "kept" : "new") + " channel, run at " + runAt.get(id) + ", cut: "
+                    + ended.getMessage());
+            if (kept) {
+                cut.add(id);
+            }
+        }
+    }
+
+    private static void readStream(Client client, String id) throws IOException {
+        int events = 0;
+        for (int size = Message.chunkSize(client.input); size > 0; size = Message.chunkSize(client.input)) {
+            String text = new String(Message.exactly(client.input, size));
+            events += (int) text.lines().filter(line -> line.startsWith("id:")).count();
+            Message.readLine(client.input);
+        }
+        Message.readLine(client.input);
+        if (events != EVENTS) {
+            throw new EOFException(events + " events");
+        }
+    }
+
+    private Worker worker(String id, boolean faulty) throws IOException {
+        AtomicInteger answers = new AtomicInteger();
+        return new Worker(id, (request, channel) -> {
+            String name = request.field("x-request-id");
+            runAt.put(name, id);
+            long since = milliseconds() - trafficStart - TROUBLE_FROM_MS;
+            if (faulty && since >= 0 && since < TROUBLE_FOR_MS && answers.incrementAndGet() % SPOILT_ONE_IN == 0) {
+                endless.incrementAndGet();
+                setup.record.add(id + " answers " + name + " with an endless head");
+                writeEndlessHead(channel);
+            }
+            channel.write(Worker.head(request, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+            for (int event = 1; event <= EVENTS; event++) {
+                channel.write(Worker.chunk("id: " + event + "\ndata: word\n\n"));
+                Thread.sleep(EVENT_PAUSE_MS);
+            }
+            channel.write("0\r\n\r\n");
+            return true;
+        });
+    }
+
+    /** Writes lines until the gateway closes the channel. */
+    private static void writeEndlessHead(Worker.Channel channel) throws Exception {
+        StringBuilder first = new StringBuilder("HTTP/1.1 200 OK\r\n");
+        int line = 0;
+        while (first.length() < FIRST_BYTES) {
+            first.append(Integer.toString(line++, 36)).append(":b\r\n");
+        }
+        channel.write(first.toString());
+        while (true) {
+            channel.write(Integer.toString(line++, 36) + ":b\r\n");
+            Thread.sleep(LINE_PAUSE_MS);
+        }
+    }
+}
