--- a/review/harness-2/src/test/java/review/EndlessHead.java
+++ b/review/harness-2/src/test/java/review/EndlessHead.java
@@ -15,19 +15,19 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Half of the workers of a service answer one request in twenty, for five seconds, with bytes that are no answer: lines of
+ * Six of the ten workers of a service answer one request in twenty, for six seconds, with bytes that are no answer: lines of
  * a head that does not end until the caller closes. The other workers are sound all the while, and their answers count.
  */
 final class EndlessHead {
 
     private static final int WORKERS = 10;
-    private static final int FAULTY_WORKERS = 5;
+    private static final int FAULTY_WORKERS = 6;
 
     /** Each faulty worker spoils one answer in so many. */
     private static final int SPOILT_ONE_IN = 20;
 
     private static final long TROUBLE_FROM_MS = 4_000;
-    private static final long TROUBLE_FOR_MS = 5_000;
+    private static final long TROUBLE_FOR_MS = 6_000;
     private static final long TRAFFIC_FOR_MS = 18_000;
 
     /** The requests a second of all clients of the site together. */
