--- a/review/harness-2/src/test/java/review/Gateway.java
+++ b/review/harness-2/src/test/java/review/Gateway.java
@@ -61,7 +61,7 @@
         builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
         builder.environment().put("SASSAFRASTRAIL_SETTINGS", settings.toString());
         builder.directory(root.toFile());
-        builder.redirectErrorStream(true).redirectOutput(log.toFile());
+        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.to(log.toFile()));
         process = builder.start();
         Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     }
@@ -116,6 +116,10 @@
         process.destroy();
     }
 
+    void kill() {
+        process.destroyForcibly();
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
--- a/review/harness-2/src/test/java/review/Setup.java
+++ b/review/harness-2/src/test/java/review/Setup.java
@@ -13,6 +13,7 @@
     final Record record;
     final Store store;
     final List<Gateway> gateways = new ArrayList<>();
+    private final List<Gateway.Ports> ports = new ArrayList<>();
 
     Setup(Path record) throws Exception {
         this.record = new Record(record);
@@ -52,10 +53,23 @@
 
     /** Starts gateways and waits until each is ready. */
     void start(int count) throws Exception {
-        List<Gateway.Ports> ports = Gateway.Ports.choose(count);
+        ports.addAll(Gateway.Ports.choose(count));
+        startAll();
+    }
+
+    /** Kills all gateways at the same moment, and starts them again. */
+    void killAndStartAll() throws Exception {
+        gateways.forEach(Gateway::kill);
+        gateways.forEach(Gateway::close);
+        gateways.clear();
+        startAll();
+    }
+
+    private void startAll() throws Exception {
         String seeds = String.join(",", ports.stream().limit(3).map(each -> "\"127.0.0.1:" + each.links() + "\"").toList());
-        for (int each = 0; each < count; each++) {
-            gateways.add(new Gateway(root, folder, "gateway-" + (each + 1), ports.get(each), seeds, store.address()));
+        for (Gateway.Ports each : ports) {
+            String node = "gateway-" + (gateways.size() + 1);
+            gateways.add(new Gateway(root, folder, node, each, seeds, store.address()));
         }
         for (Gateway gateway : gateways) {
             gateway.awaitReady();
