Let the HTTP client close and release only connections that it owns

Callers of the client: a store watch and a store write run on different threads.

Cause: IdleConnections.discard closed what it saw of a queue while another thread could take from it, so a connection that had just been taken was closed in use. UndertowHttpResponse.close, called twice, put its connection into the pool twice, and two requests got it at a time.

Now a connection is removed before it is closed, and a response releases its connection once.

--- a/http/src/main/java/org/sassafrastrail/http/IdleConnections.java
+++ b/http/src/main/java/org/sassafrastrail/http/IdleConnections.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.Deque;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 
 import org.xnio.IoUtils;
 
@@ -53,12 +55,12 @@
         }
     }
 
-    /** Closes the idle connections to a server. */
+    /** Closes the idle connections to a server. Each is removed first, so that none is closed that another thread has taken. */
     void discard(String server) {
-        Deque<Idle> connections = idle.remove(server);
-        if (connections != null) {
-            connections.forEach(each -> IoUtils.safeClose(each.connection().client()));
-        }
+        Deque<Idle> connections = idle.getOrDefault(server, new ConcurrentLinkedDeque<>());
+        Stream.generate(connections::pollFirst)
+                .takeWhile(Objects::nonNull)
+                .forEach(each -> IoUtils.safeClose(each.connection().client()));
     }
 
     /** Closes all idle connections. */
--- a/http/src/main/java/org/sassafrastrail/http/UndertowHttpResponse.java
+++ b/http/src/main/java/org/sassafrastrail/http/UndertowHttpResponse.java
@@ -17,6 +17,7 @@
     private final ClientExchange exchange;
     private final Body body;
     private final Runnable onComplete;
+    private boolean closed;
 
     UndertowHttpResponse(ClientExchange exchange, Duration timeout, Runnable onComplete) {
         this.exchange = exchange;
@@ -46,6 +47,10 @@
 
     @Override
     public void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
         if (body.ended) {
             onComplete.run();
         } else {
--- a/http/src/test/java/org/sassafrastrail/http/UndertowHttpClientTest.java
+++ b/http/src/test/java/org/sassafrastrail/http/UndertowHttpClientTest.java
@@ -93,6 +93,24 @@
                 .isInstanceOf(HttpResult.NoResponse.class);
     }
 
+    /** Guards against answers to another request: a response closed twice gave its connection to two requests at a time. */
+    @Test
+    void responseThatIsClosedTwiceReleasesItsConnectionOnce() throws Exception {
+        try (SilencedServer server = new SilencedServer()) {
+            HttpRequest request =
+                    new HttpRequest("127.0.0.1", server.port(), "GET", "/", Map.of(), new byte[0], SILENCE, true);
+            HttpResponse closedTwice = ((HttpResult.Responded) client.send(request)).response();
+            assertThat(closedTwice.body().readAllBytes()).isEmpty();
+            closedTwice.close();
+            closedTwice.close();
+            HttpResponse first = ((HttpResult.Responded) client.send(request)).response();
+            HttpResponse second = ((HttpResult.Responded) client.send(request)).response();
+            assertThat(server.open).hasSize(2);
+            first.close();
+            second.close();
+        }
+    }
+
     @Test
     void reusedConnectionIsCheckedAnew() throws Exception {
         try (SilencedServer server = new SilencedServer()) {
