Abort no exchange that has ended

At the end of a shutdown the requests in flight are aborted on their I/O threads. One that ended between the order and its execution had its caller's connection closed, which may carry the caller's next request by then.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/CallerExchange.java
@@ -323,8 +323,14 @@
         new Problem(status, type, "The request may have run; nobody can tell.", "").send(exchange);
     }
 
-    /** Ends the exchange early, in a way that the caller does not take for the end of a complete response. */
+    /**
+     * Ends the exchange early, in a way that the caller does not take for the end of a complete response. Does nothing after
+     * its end, because the caller's connection may carry its next request by then.
+     */
     void abort() {
+        if (response.isClosed()) {
+            return;
+        }
         outcome = ExchangeOutcome.BROKEN_OFF;
         response.abort();
     }
