Let an attempt use its connection only until it gives it back

Cause: UpstreamAttempt gave its connection back to the pool when the response was whole, but kept it in a field, and cancel and fail closed whatever the field held. The exchange of a caller outlives its attempt while a stored failure waits for a retry and while the caller reads a buffered response slowly; if the caller leaves then, the connection may carry another request. On the same path, a connection was released while the upload of a request that had been answered early was still being written, and the next request on it was queued behind the upload.

Now the pool lends a connection (ConnectionLease). The lease ends once, and nothing that the attempt does later has an effect. It is released only when the request is written too, within the keep-alive time. The parsing of that time moves to KeepAlive.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -4,7 +4,6 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.EnumSet;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -15,7 +14,6 @@
 import io.undertow.client.ClientResponse;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderMap;
-import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import org.sassafrastrail.gate.AttemptResult;
 import org.sassafrastrail.gate.Upstream;
@@ -31,12 +29,6 @@
  */
 final class UpstreamAttempt {
 
-    private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofSeconds(2);
-    private static final String KEEP_ALIVE_TIMEOUT = "timeout=";
-
-    /** A longer number means nothing, and would not fit into a duration. */
-    private static final int MAX_KEEP_ALIVE_DIGITS = 9;
-
     /** The number of buffers to read before other connections of the thread are served. */
     private static final int MAX_BUFFERS_PER_READ = 16;
 
@@ -53,9 +45,10 @@
     private final UpstreamConnectionPool connectionPool;
     private final AttemptListener listener;
 
-    private UpstreamConnection connection;
+    private Optional<ConnectionLease> lease = Optional.empty();
     private StreamSourceChannel source;
-    private Duration keepAlive = DEFAULT_KEEP_ALIVE;
+    private Duration keepAlive = KeepAlive.DEFAULT;
+    private boolean requestWritten;
     private boolean ended;
     private boolean responseStarted;
     private long responseBytes;
@@ -82,27 +75,30 @@
                 upstream, callback(this::sendRequest, cause -> end(new AttemptResult.NotConnected(), cause)));
     }
 
-    /** Ends the attempt at any stage, by closing the connection to the upstream. */
+    /** Ends the attempt at any stage, by closing the connection to the upstream if the attempt still has it. */
     void cancel() {
         ended = true;
-        if (connection != null) {
-            TransportCloser.close(connection.client());
-        }
+        closeConnection();
     }
 
-    private void sendRequest(UpstreamConnection opened) {
+    private void closeConnection() {
+        lease.ifPresent(ConnectionLease::close);
+    }
+
+    private void sendRequest(ConnectionLease opened) {
+        lease = Optional.of(opened);
         if (ended) {
-            TransportCloser.close(opened.client());
+            opened.close();
             return;
         }
         AttemptRequest request = requestSupplier.get();
         if (request instanceof AttemptRequest.Ready ready) {
-            connection = opened;
+            UpstreamConnection connection = opened.connection();
             connection.readLimit().progressMade();
             connection.chunkChecker().requestSent(!ready.head().getMethod().equals(Methods.HEAD));
             connection.client().sendRequest(ready.head(), callback(this::requestSent, this::fail));
         } else if (request instanceof AttemptRequest.NotWanted notWanted) {
-            connectionPool.release(upstream, opened, DEFAULT_KEEP_ALIVE);
+            opened.release(KeepAlive.DEFAULT);
             end(new AttemptResult.NotSent(), notWanted.cause());
         }
     }
@@ -111,6 +107,8 @@
         exchange.setResponseListener(callback(this::responseReceived, this::fail));
         if (body.hasRemaining()) {
             write(exchange.getRequestChannel());
+        } else {
+            requestWritten = true;
         }
     }
 
@@ -125,18 +123,30 @@
             }
             sink.suspendWrites();
             sink.shutdownWrites();
-            if (!sink.flush()) {
+            if (sink.flush()) {
+                requestWritten();
+            } else {
                 sink.getWriteSetter()
                         .set(ChannelListeners.flushingChannelListener(
-                                ChannelListeners.nullChannelListener(),
-                                (channel, failure) -> fail("request not written: " + failure.getMessage())));
+                                channel -> requestWritten(), (channel, failure) -> requestNotWritten(failure)));
                 sink.resumeWrites();
             }
         } catch (IOException failure) {
-            fail("request not written: " + failure.getMessage());
+            requestNotWritten(failure);
         }
     }
 
+    private void requestWritten() {
+        requestWritten = true;
+        if (ended) {
+            lease.ifPresent(held -> held.release(keepAlive));
+        }
+    }
+
+    private void requestNotWritten(IOException failure) {
+        fail("request not written: " + failure.getMessage());
+    }
+
     private void responseReceived(ClientExchange exchange) {
         ClientResponse response = exchange.getResponse();
         HeaderMap headers = response.getResponseHeaders();
@@ -152,18 +162,19 @@
             fail(kind + ", status " + response.getResponseCode());
             return;
         }
-        Optional<BodyFraming> framing = BodyFraming.of(headers).filter(connection.chunkChecker()::agreesWith);
+        Optional<BodyFraming> framing =
+                BodyFraming.of(headers).filter(connection().chunkChecker()::agreesWith);
         if (framing.isEmpty()) {
             fail("contradictory framing, status " + response.getResponseCode());
             return;
         }
-        keepAlive = keepAlive(headers, framing.get());
+        keepAlive = KeepAlive.after(headers, framing.get());
         source = exchange.getResponseChannel();
         if (kind == ResponseKind.DECLINED || kind == ResponseKind.WRONG_UPSTREAM) {
             end(
                     kind == ResponseKind.DECLINED ? new AttemptResult.Declined() : new AttemptResult.WrongUpstream(),
                     "status " + response.getResponseCode());
-            TransportCloser.close(connection.client());
+            closeConnection();
             return;
         }
         responseStarted = true;
@@ -172,7 +183,7 @@
                 callerHeaders(headers, framing.get()),
                 kind,
                 framing.get().length(),
-                !endsWithConnection(framing.get()),
+                framing.get().end() != ResponseFraming.BodyEnd.CONNECTION_END,
                 protocol.readReportedLoad(headers)));
         source.getReadSetter().set(channel -> read());
         read();
@@ -195,7 +206,7 @@
         if (ended) {
             return;
         }
-        try (PooledByteBuffer pooled = connection.client().getBufferPool().allocate()) {
+        try (PooledByteBuffer pooled = connection().client().getBufferPool().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
             for (int round = 0; round < MAX_BUFFERS_PER_READ; round++) {
                 int count = fill(buffer);
@@ -222,7 +233,7 @@
 
     /** Returns false if the listener can accept no more for now, or if the attempt has ended. */
     private boolean deliver(ByteBuffer part) {
-        connection.readLimit().progressMade();
+        connection().readLimit().progressMade();
         responseBytes += part.remaining();
         if (responseBytes > MAX_RESPONSE_BYTES) {
             fail("response over " + MAX_RESPONSE_BYTES + " bytes");
@@ -236,24 +247,29 @@
         return source.read(buffer);
     }
 
+    /** Releases the connection once the request is written too, as the upstream may respond before it has read all of it. */
     private void completed() {
         end(new AttemptResult.Delivered(), "");
         if (keepAlive.isZero()) {
-            TransportCloser.close(connection.client());
+            closeConnection();
+        } else if (requestWritten) {
+            lease.ifPresent(held -> held.release(keepAlive));
         } else {
-            connectionPool.release(upstream, connection, keepAlive);
+            lease.ifPresent(held -> held.closeAfter(keepAlive));
         }
     }
 
+    private UpstreamConnection connection() {
+        return lease.orElseThrow().connection();
+    }
+
     /**
      * Ends the attempt without a usable response. The result is reported before the connection is closed, because Undertow
      * reports the close as a failure of its own.
      */
     void fail(String cause) {
         end(responseStarted ? new AttemptResult.Broken() : new AttemptResult.Lost(), cause);
-        if (connection != null) {
-            TransportCloser.close(connection.client());
-        }
+        closeConnection();
     }
 
     private void end(AttemptResult result, String cause) {
@@ -263,39 +279,6 @@
         }
     }
 
-    /** Returns how long the idle connection may be kept open, zero if it must be closed. */
-    private static Duration keepAlive(HeaderMap headers, BodyFraming framing) {
-        boolean closes = Optional.ofNullable(headers.getFirst(Headers.CONNECTION))
-                .filter(value -> value.toLowerCase(Locale.ROOT).contains("close"))
-                .isPresent();
-        if (closes || endsWithConnection(framing)) {
-            return Duration.ZERO;
-        }
-        return Optional.ofNullable(headers.getFirst(Headers.KEEP_ALIVE))
-                .flatMap(UpstreamAttempt::timeout)
-                .orElse(DEFAULT_KEEP_ALIVE);
-    }
-
-    private static boolean endsWithConnection(BodyFraming framing) {
-        return framing.end() == ResponseFraming.BodyEnd.CONNECTION_END;
-    }
-
-    private static Optional<Duration> timeout(String keepAlive) {
-        int index = keepAlive.indexOf(KEEP_ALIVE_TIMEOUT);
-        if (index < 0) {
-            return Optional.empty();
-        }
-        String digits = keepAlive
-                .substring(index + KEEP_ALIVE_TIMEOUT.length())
-                .chars()
-                .takeWhile(Character::isDigit)
-                .collect(StringBuilder::new, StringBuilder::appendCodePoint, StringBuilder::append)
-                .toString();
-        return digits.isEmpty() || digits.length() > MAX_KEEP_ALIVE_DIGITS
-                ? Optional.empty()
-                : Optional.of(Duration.ofSeconds(Long.parseLong(digits)));
-    }
-
     private static <T> ClientCallback<T> callback(Consumer<T> done, Consumer<String> failed) {
         return new ClientCallback<>() {
             @Override
--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamConnectionPool.java
@@ -34,14 +34,14 @@
         this.buffers = buffers;
     }
 
-    /** Passes an idle or a new connection to the callback, or a failure if none could be opened in time. */
-    void open(Upstream upstream, ClientCallback<UpstreamConnection> callback) {
+    /** Passes the lease of an idle or a new connection to the callback, or a failure if none could be opened in time. */
+    void open(Upstream upstream, ClientCallback<ConnectionLease> callback) {
         Optional<UpstreamConnection> idleConnection = idle.take(address(upstream));
         if (idleConnection.isPresent()) {
-            callback.completed(idleConnection.get());
+            callback.completed(lease(upstream, idleConnection.get()));
             return;
         }
-        ConnectCallback connecting = new ConnectCallback(callback);
+        ConnectCallback connecting = new ConnectCallback(upstream, callback);
         XnioExecutor.Key timer =
                 thread.executeAfter(connecting::timedOut, CONNECT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
         connecting.timer = timer;
@@ -53,8 +53,11 @@
         }
     }
 
-    /** Returns a connection without a request in flight to the pool. */
-    void release(Upstream upstream, UpstreamConnection connection, Duration keepAlive) {
+    private ConnectionLease lease(Upstream upstream, UpstreamConnection connection) {
+        return new ConnectionLease(connection, (released, keepAlive) -> release(upstream, released, keepAlive));
+    }
+
+    private void release(Upstream upstream, UpstreamConnection connection, Duration keepAlive) {
         if (connection.client().isOpen()) {
             idle.add(address(upstream), connection, keepAlive);
         }
@@ -67,11 +70,13 @@
     /** Completes once: with the connection, or with a failure if it was not opened in time. */
     private final class ConnectCallback implements ClientCallback<ClientConnection> {
 
-        private final ClientCallback<UpstreamConnection> callback;
+        private final Upstream upstream;
+        private final ClientCallback<ConnectionLease> callback;
         private XnioExecutor.Key timer;
         private boolean done;
 
-        ConnectCallback(ClientCallback<UpstreamConnection> callback) {
+        ConnectCallback(Upstream upstream, ClientCallback<ConnectionLease> callback) {
+            this.upstream = upstream;
             this.callback = callback;
         }
 
@@ -83,7 +88,8 @@
             }
             done = true;
             timer.remove();
-            callback.completed(new UpstreamConnection(connection, sources.lastLimit(), sources.lastChecker()));
+            callback.completed(
+                    lease(upstream, new UpstreamConnection(connection, sources.lastLimit(), sources.lastChecker())));
         }
 
         @Override
