Keep what is known of crashes of upstreams in the store

Cause: CrashEvidence was in the memory of gateways alone, and a gateway that starts learned it from its peers. Ruled out as the cause: the repeat of each such request, which costs crashes, but the same before the kill.

Now each gateway keeps a CrashRecord, limited in size and one to two seconds behind its evidence; the watchers of each failure domain write it to the table crash-records when it has changed, or when the store came back from an older copy; each gateway reads the table once before its first configuration, and merges it as it does what peers tell.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/CrashHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/CrashHandler.java
@@ -12,6 +12,7 @@
 import org.sassafrastrail.gate.crash.Crash;
 import org.sassafrastrail.gate.crash.CrashAttribution;
 import org.sassafrastrail.gate.crash.CrashEvidence;
+import org.sassafrastrail.gate.crash.CrashRecord;
 import org.sassafrastrail.gate.crash.UpstreamIncarnation;
 import org.sassafrastrail.model.RefusalReason;
 
@@ -65,9 +66,7 @@
 
     /** Tells the peers what they have not been told. */
     Transition<GatewayState, GatewayAction> share(GatewayState state, Instant now) {
-        List<CrashReport> reports = state.crashes().toShare().entrySet().stream()
-                .map(crash -> CrashReport.of(crash.getKey(), crash.getValue(), now))
-                .toList();
+        List<CrashReport> reports = reports(state.crashes().toShare(), now);
         return reports.isEmpty()
                 ? Transition.to(state)
                 : Transition.<GatewayState, GatewayAction>to(
@@ -75,6 +74,22 @@
                         .then(new GatewayAction.ShareCrashes(reports));
     }
 
+    /** Records what has changed of the evidence that has to outlive all gateways. */
+    static Transition<GatewayState, GatewayAction> record(GatewayState state, Instant now) {
+        CrashRecord before = state.crashRecord();
+        CrashRecord next = before.updatedFrom(state.crashes(), now);
+        Transition<GatewayState, GatewayAction> updated = Transition.to(state.with(next));
+        return next.crashes() == before.crashes()
+                ? updated
+                : updated.then(new GatewayAction.RecordCrashes(reports(next.crashes(), now)));
+    }
+
+    private static List<CrashReport> reports(Map<UpstreamIncarnation, Crash> crashes, Instant now) {
+        return crashes.entrySet().stream()
+                .map(crash -> CrashReport.of(crash.getKey(), crash.getValue(), now))
+                .toList();
+    }
+
     /** Drops old evidence, attributes crashes to their causes, and ends the requests that would crash more upstreams. */
     Transition<GatewayState, GatewayAction> attribute(GatewayState state, Instant now) {
         CrashEvidence evidence =
--- a/gate-core/src/main/java/org/sassafrastrail/gate/FleetView.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/FleetView.java
@@ -2,6 +2,7 @@
 
 import org.sassafrastrail.gate.capacity.LearnedCapacity;
 import org.sassafrastrail.gate.crash.CrashEvidence;
+import org.sassafrastrail.gate.crash.CrashRecord;
 import org.sassafrastrail.gate.limit.Permits;
 import org.sassafrastrail.gate.limit.RateLimits;
 
@@ -16,6 +17,7 @@
  * @param permits the permits for upstreams with a limit
  * @param domains the failure domains of the gateways
  * @param capacity what responses show of the speed of upstreams
+ * @param crashRecord what was recorded of the crashes
  */
 record FleetView(
         Peers peers,
@@ -25,37 +27,42 @@
         RateLimits rateLimits,
         Permits permits,
         GatewayDomains domains,
-        LearnedCapacity capacity) {
+        LearnedCapacity capacity,
+        CrashRecord crashRecord) {
 
     FleetView with(Peers next) {
-        return new FleetView(next, shares, crashes, drainNotices, rateLimits, permits, domains, capacity);
+        return new FleetView(next, shares, crashes, drainNotices, rateLimits, permits, domains, capacity, crashRecord);
     }
 
     FleetView with(AccountShares next) {
-        return new FleetView(peers, next, crashes, drainNotices, rateLimits, permits, domains, capacity);
+        return new FleetView(peers, next, crashes, drainNotices, rateLimits, permits, domains, capacity, crashRecord);
     }
 
     FleetView with(CrashEvidence next) {
-        return new FleetView(peers, shares, next, drainNotices, rateLimits, permits, domains, capacity);
+        return new FleetView(peers, shares, next, drainNotices, rateLimits, permits, domains, capacity, crashRecord);
     }
 
     FleetView with(DrainNotices next) {
-        return new FleetView(peers, shares, crashes, next, rateLimits, permits, domains, capacity);
+        return new FleetView(peers, shares, crashes, next, rateLimits, permits, domains, capacity, crashRecord);
     }
 
     FleetView with(RateLimits next) {
-        return new FleetView(peers, shares, crashes, drainNotices, next, permits, domains, capacity);
+        return new FleetView(peers, shares, crashes, drainNotices, next, permits, domains, capacity, crashRecord);
     }
 
     FleetView with(Permits next) {
-        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, next, domains, capacity);
+        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, next, domains, capacity, crashRecord);
     }
 
     FleetView with(GatewayDomains next) {
-        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, permits, next, capacity);
+        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, permits, next, capacity, crashRecord);
     }
 
     FleetView with(LearnedCapacity next) {
-        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, permits, domains, next);
+        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, permits, domains, next, crashRecord);
+    }
+
+    FleetView with(CrashRecord next) {
+        return new FleetView(peers, shares, crashes, drainNotices, rateLimits, permits, domains, capacity, next);
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayAction.java
@@ -123,6 +123,13 @@
      */
     record ShareCrashes(List<CrashReport> crashes) implements GatewayAction {}
 
+    /**
+     * Record what has to be known of crashes of upstreams after all gateways were down, in place of what was recorded before.
+     *
+     * @param crashes the crashes
+     */
+    record RecordCrashes(List<CrashReport> crashes) implements GatewayAction {}
+
     /**
      * Tell the other gateways which upstreams said that they are draining.
      *
--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -12,6 +12,7 @@
 import org.pcollections.PSet;
 import org.sassafrastrail.gate.capacity.LearnedCapacity;
 import org.sassafrastrail.gate.crash.CrashEvidence;
+import org.sassafrastrail.gate.crash.CrashRecord;
 import org.sassafrastrail.gate.crash.UpstreamIncarnation;
 import org.sassafrastrail.gate.limit.Permits;
 import org.sassafrastrail.gate.limit.RateLimits;
@@ -69,7 +70,8 @@
                         RateLimits.NONE,
                         Permits.NONE,
                         GatewayDomains.start(domain),
-                        LearnedCapacity.NONE),
+                        LearnedCapacity.NONE,
+                        CrashRecord.NONE),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
                 UpstreamPauses.NONE,
@@ -127,6 +129,10 @@
         return fleet.crashes();
     }
 
+    CrashRecord crashRecord() {
+        return fleet.crashRecord();
+    }
+
     DrainNotices drainNotices() {
         return fleet.drainNotices();
     }
@@ -269,6 +275,10 @@
         return next == crashes() ? this : with(fleet.with(next));
     }
 
+    GatewayState with(CrashRecord next) {
+        return next == crashRecord() ? this : with(fleet.with(next));
+    }
+
     GatewayState with(DrainNotices next) {
         return next == drainNotices() ? this : with(fleet.with(next));
     }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/TickHandler.java
@@ -39,6 +39,7 @@
                 .with(state.drainNotices().withoutExpired(now))
                 .with(state.pauses().withoutEnded(now));
         return crashes.attribute(RateLimitHandler.withoutExpired(updated, now), now)
+                .and(next -> CrashHandler.record(next, now))
                 .and(next -> capacity.evaluate(next, now))
                 .and(next -> scheduler.dispatchAll(next, now))
                 .and(next -> calls.expire(next, now))
--- a/gate-core/src/main/java/org/sassafrastrail/gate/crash/Crash.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/crash/Crash.java
@@ -73,6 +73,27 @@
         return merged.withTrusted(other.trusted).withCleared(other.cleared);
     }
 
+    /** Keeps a number of suspects, those of the latest requests, and a number of cleared parts. */
+    Crash limitedTo(int parts) {
+        if (suspects.size() <= parts && cleared.size() <= parts) {
+            return this;
+        }
+        Map<String, Instant> kept = suspects.entrySet().stream()
+                .sorted(Map.Entry.<String, Instant>comparingByValue()
+                        .reversed()
+                        .thenComparing(Map.Entry.comparingByKey()))
+                .limit(parts)
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+        Set<String> keptCleared = cleared.stream().sorted().limit(parts).collect(Collectors.toUnmodifiableSet());
+        Set<String> keptTrusted = trusted.stream().filter(kept::containsKey).collect(Collectors.toUnmodifiableSet());
+        return new Crash(
+                observedAt,
+                confirmed,
+                HashTreePMap.from(kept),
+                HashTreePSet.from(keptTrusted),
+                HashTreePSet.from(keptCleared));
+    }
+
     boolean isSuspect(String part) {
         return suspects.containsKey(part);
     }
--- a/gate-core/src/test/java/org/sassafrastrail/gate/CrashHandlerTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/CrashHandlerTest.java
@@ -131,6 +131,23 @@
         assertThat(gateway.state().call(THIRD_DEADLY)).isEmpty();
     }
 
+    /** Guards against BUDGET: all gateways were killed at once, and their successors sent such requests to upstreams again. */
+    @Test
+    void gatewayThatStartsWithTheRecordOfOthersRefusesWhatTheyRefused() {
+        crashTwice();
+        List<GatewayAction> actions = gateway.advance(Duration.ofSeconds(2));
+        GatewayAction.RecordCrashes recorded =
+                GatewayDriver.first(actions, GatewayAction.RecordCrashes.class).orElseThrow();
+        GatewayDriver successor = new GatewayDriver();
+        successor.register(GatewayDriver.upstream("new", GatewayDriver.MODEL));
+        successor.handle(new GatewayEvent.PeerCrashesReceived(recorded.crashes()));
+        successor.advance(Duration.ofMillis(25));
+        assertThat(refusal(successor.arrive(THIRD_DEADLY, ROUTE, prompt("third", "deadly"), "account")))
+                .contains(RefusalReason.UPSTREAM_CRASHES);
+        assertThat(refusal(successor.arrive(SOUND, ROUTE, prompt("common", "other"), "account")))
+                .isEmpty();
+    }
+
     @Test
     void connectionRefusedAfterLossConfirmsCrash() {
         arrive(FIRST_DEADLY, ROUTE, "deadly");
--- a/gateway/src/main/java/org/sassafrastrail/gateway/ClusterStateSource.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/ClusterStateSource.java
@@ -1,7 +1,9 @@
 package org.sassafrastrail.gateway;
 
+import java.util.List;
 import java.util.function.Consumer;
 
+import org.sassafrastrail.gate.CrashReport;
 import org.sassafrastrail.gate.GatewayEvent;
 import org.sassafrastrail.gate.VersionMove;
 import org.sassafrastrail.runtime.Metrics;
@@ -25,4 +27,12 @@
      * @param move the move
      */
     void rejectVersion(VersionMove move);
+
+    /**
+     * Records what gateways have to know of crashes of upstreams after all of them were down at once, in place of what was
+     * recorded before. Each gateway gets it as an event when it starts. Does not block.
+     *
+     * @param crashes the crashes
+     */
+    void recordCrashes(List<CrashReport> crashes);
 }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayActionExecutor.java
@@ -6,7 +6,6 @@
 
 import io.undertow.util.StatusCodes;
 import org.sassafrastrail.gate.GatewayAction;
-import org.sassafrastrail.gate.VersionMove;
 import org.sassafrastrail.runtime.ActionExecutor;
 import org.sassafrastrail.runtime.EventLog;
 import org.sassafrastrail.runtime.LogField;
@@ -17,7 +16,7 @@
 
     private final CallerFrontEnd callers;
     private final PeerNotifier peers;
-    private final Consumer<VersionMove> versionRejecter;
+    private final ClusterStateSource clusterState;
     private final Runnable drained;
     private final CallRecorder recorder;
     private final Metrics metrics;
@@ -26,14 +25,14 @@
     GatewayActionExecutor(
             CallerFrontEnd callers,
             PeerNotifier peers,
-            Consumer<VersionMove> versionRejecter,
+            ClusterStateSource clusterState,
             Runnable drained,
             CallRecorder recorder,
             Metrics metrics,
             EventLog log) {
         this.callers = callers;
         this.peers = peers;
-        this.versionRejecter = versionRejecter;
+        this.clusterState = clusterState;
         this.drained = drained;
         this.recorder = recorder;
         this.metrics = metrics;
@@ -64,6 +63,8 @@
             peers.sendReport(send.report());
         } else if (action instanceof GatewayAction.ShareCrashes share) {
             peers.shareCrashes(share.crashes());
+        } else if (action instanceof GatewayAction.RecordCrashes toRecord) {
+            clusterState.recordCrashes(toRecord.crashes());
         } else if (action instanceof GatewayAction.ShareDrainNotices share) {
             peers.shareDrainNotices(share.reports());
         } else if (action instanceof GatewayAction.ShareRateLimits share) {
@@ -87,7 +88,7 @@
                     "version-rejected",
                     LogField.of("target", reject.move().target()),
                     LogField.of("version", reject.move().version()));
-            versionRejecter.accept(reject.move());
+            clusterState.rejectVersion(reject.move());
         } else if (action instanceof GatewayAction.Drained) {
             drained.run();
         }
--- a/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/GatewayDaemon.java
@@ -112,8 +112,8 @@
         this.activity = new ActivityLog(accounts, this::state, this::lag, callers::connectionCount, clock, log);
         Incarnation incarnation = new Incarnation(clock.millis());
         this.peers = new PeerLinks(settings, incarnation, this::post, () -> state().tableWatchers(), metrics, log);
-        GatewayActionExecutor actions = new GatewayActionExecutor(
-                callers, peers, clusterState::rejectVersion, drained::countDown, recorder, metrics, log);
+        GatewayActionExecutor actions =
+                new GatewayActionExecutor(callers, peers, clusterState, drained::countDown, recorder, metrics, log);
         this.duties = settings.configuredDuties()
                 .flatMap(dutySettings -> dutyPlatform.map(platform -> new SingletonDuties(
                         new DutyContext(
