Give an unused connection back when its caller has left

The lease of a connection became the attempt's before it was decided whether to send the request at all, so that a caller found to have left in that moment took the unused connection with it; before the lease it went back to the pool. A response that arrives after the end of its attempt is not looked at any more.

--- a/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/sassafrastrail/gateway/UpstreamAttempt.java
@@ -86,13 +86,13 @@
     }
 
     private void sendRequest(ConnectionLease opened) {
-        lease = Optional.of(opened);
         if (ended) {
             opened.close();
             return;
         }
         AttemptRequest request = requestSupplier.get();
         if (request instanceof AttemptRequest.Ready ready) {
+            lease = Optional.of(opened);
             UpstreamConnection connection = opened.connection();
             connection.readLimit().progressMade();
             connection.chunkChecker().requestSent(!ready.head().getMethod().equals(Methods.HEAD));
@@ -148,6 +148,9 @@
     }
 
     private void responseReceived(ClientExchange exchange) {
+        if (ended) {
+            return;
+        }
         ClientResponse response = exchange.getResponse();
         HeaderMap headers = response.getResponseHeaders();
         ResponseFacts facts = protocol.readResponseFacts(response.getResponseCode(), headers);
