Let the limit of an upstream hold while it gets no requests

Cause: what an upstream said was kept for a minute from its last response, and one to which nobody may send gives none. What a peer had heard more than a minute ago was left aside, too.

Now it holds as long as the upstream is registered in the same incarnation; for a minute more, or from when a peer told it, while it is not. The end of a limit is kept as long, so that older knowledge of peers can't bring the limit back. RateLimitsTest.endIsKnownAsLongAsOlderKnowledgeIsBelieved asked that an end be forgotten after a minute and that older reports be left aside then; its successor asks that they never count while the upstream is registered, which is stricter, and that an end is forgotten when it is not.

--- a/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/GatewayState.java
@@ -221,6 +221,14 @@
         return openCalls.queues().keySet();
     }
 
+    /** Returns whether an upstream is registered in this incarnation. */
+    boolean isRegistered(UpstreamIncarnation incarnation) {
+        return Optional.ofNullable(upstreams().get(new UpstreamIdentifier(incarnation.upstream())))
+                .filter(UpstreamState::registered)
+                .filter(known -> known.upstream().incarnation().equals(incarnation))
+                .isPresent();
+    }
+
     /** Returns the state of the upstream incarnation that an attempt was sent to, empty if it is no longer known. */
     Optional<UpstreamState> upstreamOf(Attempt attempt) {
         return Optional.ofNullable(upstreams().get(attempt.upstream().identifier()))
--- a/gate-core/src/main/java/org/sassafrastrail/gate/RateLimitHandler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/RateLimitHandler.java
@@ -114,9 +114,9 @@
                         .then(new GatewayAction.ShareRateLimits(reports));
     }
 
-    /** Forgets limits of which nothing was heard for long, and the permits for upstreams without a limit. */
+    /** Forgets the limits of upstreams that are gone, and the permits for upstreams without a limit. */
     static GatewayState withoutExpired(GatewayState state, Instant now) {
-        RateLimits limits = state.rateLimits().withoutExpired(now);
+        RateLimits limits = state.rateLimits().withoutExpired(state::isRegistered, now);
         return state.with(limits).with(state.permits().retaining(limits.named().keySet()));
     }
 }
--- a/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/Scheduler.java
@@ -190,7 +190,7 @@
      * @return the earliest end of a pause, empty if an upstream takes requests or none is available
      */
     Optional<Instant> pausedUntil(GatewayState state, TargetName target, Set<UpstreamIdentifier> tried, Instant now) {
-        if (state.pauses().isEmpty() && state.rateLimits().isEmpty()) {
+        if (state.pauses().isEmpty() && state.rateLimits().noneInForce()) {
             return Optional.empty();
         }
         List<Optional<Instant>> ends = state.upstreams().values().stream()
@@ -223,7 +223,7 @@
 
     /** Returns whether an available upstream of a target has a limit on its requests. */
     boolean hasLimitedUpstream(GatewayState state, TargetName target, Instant now) {
-        return !state.rateLimits().isEmpty()
+        return !state.rateLimits().noneInForce()
                 && state.upstreams().values().stream()
                         .filter(upstream -> isAvailable(state, upstream, target, now))
                         .anyMatch(
@@ -239,7 +239,7 @@
      * @return the sum of the limits, empty if an upstream has none or none is available
      */
     OptionalDouble limitOfTarget(GatewayState state, TargetName target, Instant now) {
-        if (state.rateLimits().isEmpty()) {
+        if (state.rateLimits().noneInForce()) {
             return OptionalDouble.empty();
         }
         List<Optional<NamedLimit>> upstreamLimits = state.upstreams().values().stream()
--- a/gate-core/src/main/java/org/sassafrastrail/gate/limit/NamedLimit.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/limit/NamedLimit.java
@@ -16,7 +16,7 @@
     /** An upstream that gets nothing could never say that its limit is over. */
     private static final double MIN_PERMITS_PER_SECOND = 0.25;
 
-    /** Much longer than a limited upstream is without a request, whose response would name the limit again. */
+    /** How long a limit is kept of an upstream that is not registered: it may be again, or this gateway may have just started. */
     private static final Duration RETENTION = Duration.ofMinutes(1);
 
     /** How long the peers may believe an older time at which the limit was named. */
@@ -35,8 +35,10 @@
         return Math.max(MIN_PERMITS_PER_SECOND, requestsPerSecond.orElse(Double.POSITIVE_INFINITY));
     }
 
+    /** Returns whether the limit of an upstream that is not registered can be forgotten. */
     boolean isExpired(Instant now) {
-        return !now.isBefore(heardAt.plus(RETENTION));
+        Instant learnedAt = sharedAt.isAfter(heardAt) ? sharedAt : heardAt;
+        return !now.isBefore(learnedAt.plus(RETENTION));
     }
 
     boolean isSharingDue(Instant now) {
--- a/gate-core/src/main/java/org/sassafrastrail/gate/limit/RateLimits.java
+++ b/gate-core/src/main/java/org/sassafrastrail/gate/limit/RateLimits.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import org.pcollections.HashTreePMap;
@@ -16,7 +17,8 @@
 import org.sassafrastrail.gate.crash.UpstreamIncarnation;
 
 /**
- * The limits of upstreams, by the newest that any gateway heard of each.
+ * The limits of upstreams, by the newest that any gateway heard of each. What an upstream said holds until it says otherwise, however
+ * long it gets no request, so that it can be kept as long as the upstream is registered.
  *
  * @param named what each upstream last said
  * @param unshared the upstreams of which the peers are to be told
@@ -27,12 +29,12 @@
     public static final RateLimits NONE = new RateLimits(HashTreePMap.empty(), HashTreePSet.empty());
 
     /**
-     * Returns whether nothing is known of any limit.
+     * Returns whether no upstream has a limit.
      *
-     * @return whether there is none
+     * @return whether no limit is in force
      */
-    public boolean isEmpty() {
-        return named.isEmpty();
+    public boolean noneInForce() {
+        return named.values().stream().noneMatch(NamedLimit::isInForce);
     }
 
     /**
@@ -95,20 +97,22 @@
         NamedLimit reported = new NamedLimit(report.requestsPerSecond(), now.minus(report.age()), now);
         NamedLimit known = named.get(report.upstream());
         boolean newer = known == null || reported.heardAt().isAfter(known.heardAt());
-        return newer && !reported.isExpired(now)
+        return newer
                 ? new RateLimits(named.plus(report.upstream(), reported), unshared.minus(report.upstream()))
                 : this;
     }
 
     /**
-     * Removes the limits of which nothing was heard for long.
+     * Removes what upstreams said that are not registered any more.
      *
+     * @param registered tells whether an upstream is registered
      * @param now the time
      * @return the limits
      */
-    public RateLimits withoutExpired(Instant now) {
+    public RateLimits withoutExpired(Predicate<UpstreamIncarnation> registered, Instant now) {
         Set<UpstreamIncarnation> expired = named.entrySet().stream()
                 .filter(limit -> limit.getValue().isExpired(now))
+                .filter(limit -> !registered.test(limit.getKey()))
                 .map(Map.Entry::getKey)
                 .collect(Collectors.toUnmodifiableSet());
         return expired.isEmpty() ? this : new RateLimits(named.minusAll(expired), unshared.minusAll(expired));
--- a/gate-core/src/test/java/org/sassafrastrail/gate/RateLimitHandlerTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/RateLimitHandlerTest.java
@@ -70,6 +70,25 @@
         assertThat(question(actions)).isPresent();
     }
 
+    /** Guards against LIMIT: the limit was forgotten while nobody might send to the upstream. */
+    @Test
+    void limitHoldsAfterItsFailureDomainWasOutForLong() {
+        gateway.handle(new GatewayEvent.DomainsOutChanged(HashTreePSet.singleton(UPSTREAM.domain())));
+        gateway.advance(LONG);
+        gateway.handle(new GatewayEvent.DomainsOutChanged(HashTreePSet.empty()));
+        List<GatewayAction> actions = gateway.arrive(1, ROUTE);
+        assertThat(GatewayDriver.dispatchedTo(actions)).isEmpty();
+        assertThat(question(actions)).isPresent();
+    }
+
+    @Test
+    void limitEndsWithTheUpstream() {
+        gateway.register(GatewayDriver.restarted(UPSTREAM));
+        assertThat(GatewayDriver.dispatchedTo(gateway.arrive(1, ROUTE))).contains("one");
+        gateway.advance(LONG);
+        assertThat(gateway.state().rateLimits().named()).isEmpty();
+    }
+
     @Test
     void requestGoesElsewhereWhereNoPermitIsToBeHad() {
         gateway.register(OTHER);
--- a/gate-core/src/test/java/org/sassafrastrail/gate/limit/RateLimitsTest.java
+++ b/gate-core/src/test/java/org/sassafrastrail/gate/limit/RateLimitsTest.java
@@ -15,6 +15,7 @@
 
     private static final Instant NOW = Instant.EPOCH.plusSeconds(100);
     private static final UpstreamIncarnation UPSTREAM = new UpstreamIncarnation("one", 1);
+    private static final Duration LONG = Duration.ofHours(2);
     private static final OptionalDouble LIMIT = OptionalDouble.of(11.7);
     private static final OptionalDouble NO_LIMIT = OptionalDouble.empty();
     private static final RateLimits LIMITED = RateLimits.NONE.withHeard(UPSTREAM, LIMIT, NOW, NOW);
@@ -48,15 +49,32 @@
     }
 
     @Test
-    void endIsKnownAsLongAsOlderKnowledgeIsBelieved() {
+    void endIsKnownAsLongAsTheUpstreamIsRegistered() {
         Instant end = NOW.plusSeconds(1);
-        Instant forgotten = end.plusSeconds(60);
+        Instant later = end.plus(LONG);
         RateLimits over =
-                LIMITED.withHeard(UPSTREAM, NO_LIMIT, NOW, end).asShared().withoutExpired(forgotten);
-        assertThat(over.isEmpty()).isTrue();
-        assertThat(told(over, LIMIT, Duration.between(NOW, forgotten), forgotten)
-                        .isEmpty())
+                LIMITED.withHeard(UPSTREAM, NO_LIMIT, NOW, end).asShared().withoutExpired(upstream -> true, later);
+        assertThat(over.noneInForce()).isTrue();
+        assertThat(told(over, LIMIT, Duration.between(NOW, later), later).noneInForce())
                 .isTrue();
+        assertThat(over.withoutExpired(upstream -> false, later).named()).isEmpty();
+    }
+
+    /** Guards against LIMIT: the limit of an upstream that got nothing for a minute was forgotten. */
+    @Test
+    void limitHoldsHoweverLongTheUpstreamGetsNothing() {
+        assertThat(LIMITED.withoutExpired(upstream -> true, NOW.plus(LONG)).requestsPerSecond(UPSTREAM))
+                .isEqualTo(LIMIT);
+    }
+
+    @Test
+    void gatewayThatStartsBelievesOldLimitUntilItKnowsTheUpstreams() {
+        Instant start = NOW.plus(LONG);
+        RateLimits told = told(RateLimits.NONE, LIMIT, LONG, start);
+        assertThat(told.withoutExpired(upstream -> false, start.plusSeconds(59)).requestsPerSecond(UPSTREAM))
+                .isEqualTo(LIMIT);
+        assertThat(told.withoutExpired(upstream -> false, start.plusSeconds(60)).named())
+                .isEmpty();
     }
 
     @Test
