--- a/http/src/main/java/org/sassafrastrail/http/LineCollector.java
+++ b/http/src/main/java/org/sassafrastrail/http/LineCollector.java
@@ -6,7 +6,9 @@
 /** Collects the bytes of a line, of which only the beginning is kept if it is long. A sound line ends with CR and LF. */
 final class LineCollector {
 
+    /** Longer fields of a head are passed over unless they frame the body; longer chunk sizes with extensions are faults. */
     private static final int MAX_BYTES = 1024;
+
     private static final int INITIAL_BYTES = 64;
 
     private byte[] line = new byte[INITIAL_BYTES];
